--- /dev/null
+++ b/io/events/log.go
@@ -0,0 +1,77 @@
+package events
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"time"
+)
+
+// decisionCapacity bounds the decision log; the oldest decision is overwritten.
+const decisionCapacity = 4096
+
+// Decision answers why something was decided.
+type Decision struct {
+	Time time.Time `json:"time"`
+	// Kind is the part that decided, such as "admission" or "rollout".
+	Kind string `json:"kind"`
+	// Subject is the team, route, server or move that was decided about.
+	Subject string `json:"subject"`
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason"`
+}
+
+// Log writes numbered events and keeps the newest decisions.
+type Log struct {
+	logger *slog.Logger
+
+	mu sync.Mutex
+	// decisions is a ring of at most decisionCapacity entries; next is where the next one goes.
+	decisions []Decision
+	next      int
+}
+
+// NewLog returns a log that writes JSON lines to out.
+func NewLog(out io.Writer, level slog.Level, host string) *Log {
+	handler := slog.NewJSONHandler(out, &slog.HandlerOptions{Level: level})
+	return &Log{logger: slog.New(handler).With("host", host)}
+}
+
+// Emit writes one event with attributes as alternating keys and values.
+func (l *Log) Emit(event Event, attributes ...any) {
+	if !l.logger.Enabled(context.Background(), event.Level) {
+		return
+	}
+	l.logger.Log(context.Background(), event.Level, event.Message, append([]any{"event", event.Number}, attributes...)...)
+}
+
+// Decide records one decision.
+func (l *Log) Decide(kind, subject, outcome, reason string) {
+	d := Decision{Time: time.Now(), Kind: kind, Subject: subject, Outcome: outcome, Reason: reason}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.decisions) < decisionCapacity {
+		l.decisions = append(l.decisions, d)
+		return
+	}
+	l.decisions[l.next] = d
+	l.next = (l.next + 1) % decisionCapacity
+}
+
+// Decisions returns the newest decisions, newest first, that match kind and subject; an empty filter matches all.
+func (l *Log) Decisions(kind, subject string, limit int) []Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []Decision
+	for i := range l.decisions {
+		d := l.decisions[(l.next+len(l.decisions)-1-i)%len(l.decisions)]
+		if (kind == "" || d.Kind == kind) && (subject == "" || d.Subject == subject) {
+			found = append(found, d)
+		}
+		if len(found) == limit {
+			break
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/io/platform/http.go
@@ -0,0 +1,87 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	callTimeout    = 2 * time.Second
+	listLimitBytes = 16 << 20
+)
+
+// formats maps the scheme of an endpoint to the adapter that speaks its wire format.
+var formats = map[string]func(endpoint string) List{
+	"http": func(endpoint string) List { return NewHTTP(endpoint) },
+}
+
+// Open returns the adapter for endpoint, such as "http://10.0.0.1:7000".
+func Open(endpoint string) (List, error) {
+	scheme, _, _ := strings.Cut(endpoint, "://")
+	open, ok := formats[scheme]
+	if !ok {
+		known := slices.Sorted(maps.Keys(formats))
+		return nil, errors.Newf("platform endpoint %q: unknown scheme, accepted: %s", endpoint, strings.Join(known, ", "))
+	}
+	return open(endpoint), nil
+}
+
+// HTTP is the adapter for the platform's list as JSON over HTTP.
+type HTTP struct {
+	endpoint string
+	client   *http.Client
+}
+
+// NewHTTP returns an adapter for the list at endpoint.
+func NewHTTP(endpoint string) *HTTP {
+	return &HTTP{endpoint: strings.TrimSuffix(endpoint, "/"), client: &http.Client{Timeout: callTimeout}}
+}
+
+// Hosts implements List.
+func (h *HTTP) Hosts(ctx context.Context) ([]Host, error) {
+	return fetch[Host](ctx, h.client, h.endpoint+"/v1/hosts", func(e Host) string { return e.ID })
+}
+
+// BackendServers implements List.
+func (h *HTTP) BackendServers(ctx context.Context) ([]BackendServer, error) {
+	return fetch[BackendServer](ctx, h.client, h.endpoint+"/v1/backend-servers", func(e BackendServer) string {
+		if e.Slots < 1 || e.Connections < 1 || e.Address == "" || e.Service == "" {
+			return ""
+		}
+		return e.ID
+	})
+}
+
+// fetch reads a JSON array; an entry whose id is empty makes the whole list invalid.
+func fetch[Entry any](ctx context.Context, client *http.Client, target string, id func(Entry) string) (entries []Entry, err error) {
+	defer func() { err = errors.Wrapf(err, "read %s", target) }()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("platform answered %s", resp.Status)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, listLimitBytes)).Decode(&entries); err != nil {
+		return nil, err
+	}
+	for i, entry := range entries {
+		if id(entry) == "" {
+			return nil, errors.Newf("entry %d lacks an id, address, service, slots or connections", i)
+		}
+	}
+	return entries, nil
+}
--- /dev/null
+++ b/io/settings/settings.go
@@ -0,0 +1,240 @@
+// Package settings reads the TOML settings of a host and checks them strictly.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Duration is written with a unit, such as "30s".
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return errors.Newf("%q is not a duration with a unit, such as \"30s\"", text)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// Settings are the settings of one host.
+type Settings struct {
+	// Host is the host's id, unique in the fleet.
+	Host          string `toml:"host"`
+	Region        string `toml:"region"`
+	FailureDomain string `toml:"failure-domain"`
+	// CallerAddress, PeerAddress and OperatorAddress are IP:port pairs to listen on.
+	CallerAddress   string `toml:"caller-address"`
+	PeerAddress     string `toml:"peer-address"`
+	OperatorAddress string `toml:"operator-address"`
+	StoreEndpoint   string `toml:"store-endpoint"`
+	// PlatformEndpoint serves the list of hosts and backend servers.
+	PlatformEndpoint string `toml:"platform-endpoint"`
+	// PeerSecret authenticates hosts to each other.
+	PeerSecret string `toml:"peer-secret"`
+	// OperatorCredential authenticates operators.
+	OperatorCredential string `toml:"operator-credential"`
+	LogLevel           string `toml:"log-level"`
+	// Seeds maps host ids to peer addresses.
+	Seeds  map[string]string `toml:"seeds"`
+	Limits Limits            `toml:"limits"`
+}
+
+// Limits bound what one host holds.
+type Limits struct {
+	DrainTimeout Duration `toml:"drain-timeout"`
+	// QueueLength is the number of requests that may wait in each class.
+	QueueLength int `toml:"queue-length"`
+	// RequestBytes is the largest request body.
+	RequestBytes int64 `toml:"request-bytes"`
+	// LookupTTL is how long callers may keep a look-up answer.
+	LookupTTL Duration `toml:"lookup-ttl"`
+	// BudgetWait is how long a request may wait for borrowed tokens.
+	BudgetWait Duration `toml:"budget-wait"`
+}
+
+// Default returns the settings that a file may leave out.
+func Default() Settings {
+	return Settings{
+		LogLevel: "info",
+		Limits: Limits{
+			DrainTimeout: Duration(30 * time.Second),
+			QueueLength:  1024,
+			RequestBytes: 8 << 20,
+			LookupTTL:    Duration(5 * time.Second),
+			BudgetWait:   Duration(250 * time.Millisecond),
+		},
+	}
+}
+
+// check is one rule: it returns the offending value if the rule is broken.
+type check struct {
+	key      string
+	accepted string
+	broken   func(s Settings) (value any, broken bool)
+}
+
+// checks lists every rule in the order in which errors are reported.
+var checks = []check{
+	name("host", func(s Settings) string { return s.Host }),
+	name("region", func(s Settings) string { return s.Region }),
+	name("failure-domain", func(s Settings) string { return s.FailureDomain }),
+	address("caller-address", func(s Settings) string { return s.CallerAddress }),
+	address("peer-address", func(s Settings) string { return s.PeerAddress }),
+	address("operator-address", func(s Settings) string { return s.OperatorAddress }),
+	endpoint("store-endpoint", func(s Settings) string { return s.StoreEndpoint }),
+	endpoint("platform-endpoint", func(s Settings) string { return s.PlatformEndpoint }),
+	secret("peer-secret", func(s Settings) string { return s.PeerSecret }),
+	secret("operator-credential", func(s Settings) string { return s.OperatorCredential }),
+	{"log-level", "debug, info, warn or error", func(s Settings) (any, bool) {
+		switch s.LogLevel {
+		case "debug", "info", "warn", "error":
+			return nil, false
+		}
+		return s.LogLevel, true
+	}},
+	{"seeds", "host ids with IP:port addresses", func(s Settings) (any, bool) {
+		for host, addr := range s.Seeds {
+			if _, err := netip.ParseAddrPort(addr); err != nil {
+				return host + " = " + addr, true
+			}
+		}
+		return nil, false
+	}},
+	duration("limits.drain-timeout", time.Second, 10*time.Minute, func(s Settings) Duration { return s.Limits.DrainTimeout }),
+	duration("limits.lookup-ttl", 100*time.Millisecond, time.Minute, func(s Settings) Duration { return s.Limits.LookupTTL }),
+	duration("limits.budget-wait", 0, 5*time.Second, func(s Settings) Duration { return s.Limits.BudgetWait }),
+	number("limits.queue-length", 1, 100_000, func(s Settings) int64 { return int64(s.Limits.QueueLength) }),
+	number("limits.request-bytes", 1024, 64<<20, func(s Settings) int64 { return s.Limits.RequestBytes }),
+}
+
+func name(key string, get func(Settings) string) check {
+	return check{key, "1 to 64 letters, digits, '-' or '.'", func(s Settings) (any, bool) {
+		v := get(s)
+		bad := strings.IndexFunc(v, func(r rune) bool {
+			return r != '-' && r != '.' && (r < '0' || r > '9') && (r < 'a' || r > 'z') && (r < 'A' || r > 'Z')
+		})
+		return v, v == "" || len(v) > 64 || bad >= 0
+	}}
+}
+
+func address(key string, get func(Settings) string) check {
+	return check{key, "IP:port", func(s Settings) (any, bool) {
+		_, err := netip.ParseAddrPort(get(s))
+		return get(s), err != nil
+	}}
+}
+
+func endpoint(key string, get func(Settings) string) check {
+	return check{key, "scheme://IP:port", func(s Settings) (any, bool) {
+		_, rest, ok := strings.Cut(get(s), "://")
+		_, err := netip.ParseAddrPort(rest)
+		return get(s), !ok || err != nil
+	}}
+}
+
+// secret never shows the value in the error.
+func secret(key string, get func(Settings) string) check {
+	return check{key, "16 to 256 bytes", func(s Settings) (any, bool) {
+		n := len(get(s))
+		return fmt.Sprintf("(%d bytes)", n), n < 16 || n > 256
+	}}
+}
+
+func duration(key string, lowest, highest time.Duration, get func(Settings) Duration) check {
+	return check{key, fmt.Sprintf("%s to %s", lowest, highest), func(s Settings) (any, bool) {
+		d := time.Duration(get(s))
+		return d, d < lowest || d > highest
+	}}
+}
+
+func number(key string, lowest, highest int64, get func(Settings) int64) check {
+	return check{key, fmt.Sprintf("%d to %d", lowest, highest), func(s Settings) (any, bool) {
+		n := get(s)
+		return n, n < lowest || n > highest
+	}}
+}
+
+// Read reads and checks the settings in a file.
+func Read(file string) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+	return Parse(file, data)
+}
+
+// Parse checks data, which was read from file. Errors name the file, line, key and accepted range.
+func Parse(file string, data []byte) (Settings, error) {
+	s := Default()
+	decoder := toml.NewDecoder(strings.NewReader(string(data))).DisallowUnknownFields()
+	if err := decoder.Decode(&s); err != nil {
+		return Settings{}, decodeError(file, err)
+	}
+	lines := keyLines(data)
+	for _, c := range checks {
+		value, broken := c.broken(s)
+		if broken && lines[c.key] == 0 {
+			return Settings{}, errors.Newf("%s: %s: missing; accepted: %s", file, c.key, c.accepted)
+		}
+		if broken {
+			return Settings{}, errors.Newf("%s:%d: %s: %v is not accepted; accepted: %s", file, lines[c.key], c.key, value, c.accepted)
+		}
+	}
+	return s, nil
+}
+
+// decodeError names the place of an unknown key, a wrong type or a syntax error.
+func decodeError(file string, err error) error {
+	var unknown *toml.StrictMissingError
+	if errors.As(err, &unknown) && len(unknown.Errors) > 0 {
+		first := unknown.Errors[0]
+		line, _ := first.Position()
+		return errors.Newf("%s:%d: %s: unknown key", file, line, strings.Join(first.Key(), "."))
+	}
+	var bad *toml.DecodeError
+	if errors.As(err, &bad) {
+		line, _ := bad.Position()
+		reason := strings.TrimPrefix(bad.Error(), "toml: ")
+		if key := strings.Join(bad.Key(), "."); key != "" {
+			reason = key + ": " + reason
+		}
+		return errors.Newf("%s:%d: %s", file, line, reason)
+	}
+	return errors.Wrap(err, file)
+}
+
+// keyLines maps dotted keys to their lines; a key that is missing maps to line 0.
+func keyLines(data []byte) map[string]int {
+	lines := map[string]int{}
+	parser := unstable.Parser{}
+	parser.Reset(data)
+	table := ""
+	for parser.NextExpression() {
+		node := parser.Expression()
+		var parts []string
+		line := 0
+		for it := node.Key(); it.Next(); {
+			part := it.Node()
+			parts = append(parts, string(part.Data))
+			line = parser.Shape(part.Raw).Start.Line
+		}
+		key := strings.Join(parts, ".")
+		if node.Kind == unstable.Table {
+			table = key + "."
+			lines[key] = line
+			continue
+		}
+		lines[table+key] = line
+	}
+	return lines
+}
--- a/io/store/memory.go
+++ b/io/store/memory.go
@@ -46,6 +46,8 @@
 	counts  Counts
 	reads   window
 	writes  window
+	// now gives the time for the rate limits; tests replace it.
+	now func() time.Time
 }
 
 // window counts calls in the current second.
@@ -68,6 +70,7 @@
 	return &Memory{
 		objects: map[string]Object{},
 		changed: make(chan struct{}),
+		now:     time.Now,
 		reads:   window{limit: readsPerSecond},
 		writes:  window{limit: writesPerSecond},
 	}
@@ -110,7 +113,7 @@
 	if write {
 		calls, count = &m.writes, &m.counts.Writes
 	}
-	if !calls.take(time.Now()) {
+	if !calls.take(m.now()) {
 		m.counts.Limited++
 		return ErrRateLimited
 	}
