Check, edit, compare and index configurations

Cause: hosts and operators need one checked configuration with look-ups on the request path. Paths with . or .. segments match no route, since a backend server could resolve them to a route that needs a key.

--- /dev/null
+++ b/core/config/check.go
@@ -0,0 +1,288 @@
+package config
+
+import (
+	"encoding/hex"
+	"fmt"
+	"regexp"
+	"strings"
+	"time"
+)
+
+// The accepted ranges of numbers. The upper bounds keep sums and products of them exact in a float64.
+const (
+	maxRate     = 1e9
+	maxWeight   = 1e6
+	maxDuration = 30 * 24 * time.Hour
+	// maxPrefixBytes bounds the work of a route look-up.
+	maxPrefixBytes = 256
+	maxListLength  = 4096
+)
+
+// maxProblems bounds the length of one error message.
+const maxProblems = 20
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$`)
+
+const acceptedName = "1 to 128 characters of A-Z a-z 0-9 . _ : - that start with a letter or digit"
+
+// Problem is one refused value. It names the document, the key and the accepted range.
+type Problem struct {
+	// Document is kind/name.
+	Document string
+	// Key is empty when the document as a whole is refused.
+	Key      string
+	Value    string
+	Accepted string
+}
+
+// Error implements error.
+func (p *Problem) Error() string {
+	if p.Key == "" {
+		return fmt.Sprintf("%s: %s; accepted: %s", p.Document, p.Value, p.Accepted)
+	}
+	return fmt.Sprintf("%s: %s = %s; accepted: %s", p.Document, p.Key, p.Value, p.Accepted)
+}
+
+// Problems is every value that a check refused, at most 20.
+type Problems []*Problem
+
+// Error implements error.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, problem := range p {
+		lines[i] = problem.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// reporter records one refused value of the document that is being checked.
+type reporter func(key string, value any, accepted string)
+
+// Check validates the whole configuration and returns Problems, or nil.
+func (c *Configuration) Check() error {
+	var problems Problems
+	for _, col := range collections {
+		for _, name := range col.names(c) {
+			problems = checkDocument(c, col, name, true, problems)
+			if len(problems) >= maxProblems {
+				return problems[:maxProblems]
+			}
+		}
+	}
+	problems = append(problems, c.conflicts()...)
+	if len(problems) == 0 {
+		return nil
+	}
+	return problems[:min(len(problems), maxProblems)]
+}
+
+func checkDocument(c *Configuration, col collection, name string, references bool, problems Problems) Problems {
+	document := col.kind + "/" + name
+	if !namePattern.MatchString(name) {
+		problems = append(problems, &Problem{Document: document, Value: "bad name", Accepted: acceptedName})
+	}
+	col.check(c, name, references, func(key string, value any, accepted string) {
+		problems = append(problems, &Problem{Document: document, Key: key, Value: fmt.Sprintf("%#v", value), Accepted: accepted})
+	})
+	return problems
+}
+
+// conflicts finds documents that are each valid but contradict each other.
+func (c *Configuration) conflicts() (problems Problems) {
+	type claim struct{ kind, key, value, accepted string }
+	holders := map[claim]string{}
+	hold := func(kind, name, key, value, accepted string) {
+		taken := claim{kind: kind, key: key, value: value}
+		if other, ok := holders[taken]; ok {
+			problems = append(problems, &Problem{
+				Document: kind + "/" + name, Key: key, Value: fmt.Sprintf("%q", value),
+				Accepted: accepted + "; it is also in " + kind + "/" + other,
+			})
+			return
+		}
+		holders[taken] = name
+	}
+	for _, col := range collections {
+		for _, name := range col.names(c) {
+			switch col.kind {
+			case "teams":
+				for _, key := range c.Teams[name].Keys {
+					hold("teams", name, "keys", strings.ToLower(key), "a key of one team only")
+				}
+			case "routes":
+				hold("routes", name, "path-prefix", c.Routes[name].PathPrefix, "a prefix of one route only")
+			case "links":
+				hold("links", name, "from", c.Links[name].From+" to "+c.Links[name].To, "one link for each direction")
+			case "shifts":
+				if s := c.Shifts[name]; !s.Cancelled {
+					hold("shifts", name, "from", s.Route+"/"+s.Team+" from "+s.From, "one running shift for the same traffic")
+				}
+			case "rollouts":
+				if r := c.Rollouts[name]; !r.Cancelled {
+					hold("rollouts", name, "service", r.Service, "one running rollout for each service")
+				}
+			}
+		}
+	}
+	return problems
+}
+
+func within(report reporter, key string, value, low, high float64, lowOpen bool) {
+	// The negated form also refuses NaN.
+	if !(value <= high && (value > low || !lowOpen && value == low)) {
+		bracket := "["
+		if lowOpen {
+			bracket = "("
+		}
+		report(key, value, fmt.Sprintf("a number in %s%g, %g]", bracket, low, high))
+	}
+}
+
+func checkDuration(report reporter, key string, value Duration) {
+	if d := time.Duration(value); d <= 0 || d > maxDuration {
+		report(key, d.String(), "a duration in (0s, "+maxDuration.String()+"]")
+	}
+}
+
+func checkReference[D any](report reporter, key, name, kind string, documents map[string]D) {
+	if _, ok := documents[name]; !ok {
+		report(key, name, "the name of one of the "+kind)
+	}
+}
+
+func checkName(report reporter, key, value string) {
+	if !namePattern.MatchString(value) {
+		report(key, value, acceptedName)
+	}
+}
+
+func checkOneOf(report reporter, key, value string, accepted ...string) {
+	for _, a := range accepted {
+		if value == a {
+			return
+		}
+	}
+	report(key, value, "one of "+strings.Join(accepted, ", "))
+}
+
+func checkRoutes(c *Configuration, routes []string, references bool, report reporter) {
+	if len(routes) > maxListLength {
+		report("routes", len(routes), fmt.Sprintf("a list of at most %d names", maxListLength))
+	}
+	for _, route := range routes {
+		if references {
+			checkReference(report, "routes", route, "routes", c.Routes)
+		}
+	}
+}
+
+func checkNothing[D any](*Configuration, string, D, bool, reporter) {}
+
+func checkTemplate(c *Configuration, _ string, t Template, references bool, report reporter) {
+	within(report, "rate", t.Rate, 0, maxRate, true)
+	within(report, "burst", t.Burst, 1, maxRate, false)
+	within(report, "weight", t.Weight, 0, maxWeight, false)
+	checkRoutes(c, t.Routes, references, report)
+}
+
+func checkTeam(c *Configuration, _ string, t Team, references bool, report reporter) {
+	if t.Rate != nil {
+		within(report, "rate", *t.Rate, 0, maxRate, true)
+	}
+	if t.Burst != nil {
+		within(report, "burst", *t.Burst, 1, maxRate, false)
+	}
+	if t.Weight != nil {
+		within(report, "weight", *t.Weight, 0, maxWeight, true)
+	}
+	if t.WhenRegionCut != "" {
+		checkOneOf(report, "when-region-cut", t.WhenRegionCut, "serve", "refuse")
+	}
+	if len(t.Keys) > maxListLength {
+		report("keys", len(t.Keys), fmt.Sprintf("a list of at most %d hashes", maxListLength))
+	}
+	for _, key := range t.Keys {
+		if raw, err := hex.DecodeString(key); err != nil || len(raw) != 32 {
+			// The value is not shown, since an operator may have pasted the key itself.
+			report("keys", "(hidden)", "64 hexadecimal digits, the SHA-256 of a key")
+		}
+	}
+	if references {
+		checkReference(report, "template", t.Template, "templates", c.Templates)
+	}
+	checkRoutes(c, t.Routes, references, report)
+}
+
+func checkRoute(c *Configuration, _ string, r Route, references bool, report reporter) {
+	if !strings.HasPrefix(r.PathPrefix, "/") || len(r.PathPrefix) > maxPrefixBytes || hasDotSegment(r.PathPrefix) {
+		report("path-prefix", r.PathPrefix, fmt.Sprintf("a path of 1 to %d bytes that starts with / and has no . or .. segment", maxPrefixBytes))
+	}
+	checkOneOf(report, "class", string(r.Class), string(Prompt), string(Patient), string(Bulk))
+	checkDuration(report, "timeout", r.Timeout)
+	if references {
+		checkReference(report, "service", r.Service, "services", c.Services)
+	}
+}
+
+func checkService(_ *Configuration, _ string, s Service, _ bool, report reporter) {
+	if s.Version != "" {
+		checkName(report, "version", s.Version)
+	}
+}
+
+func checkLink(c *Configuration, _ string, l Link, references bool, report reporter) {
+	within(report, "bytes-per-second", l.BytesPerSecond, 0, 1e15, true)
+	if l.From == l.To {
+		report("to", l.To, "a region other than from")
+	}
+	if references {
+		checkReference(report, "from", l.From, "regions", c.Regions)
+		checkReference(report, "to", l.To, "regions", c.Regions)
+	}
+}
+
+func checkShift(c *Configuration, _ string, s Shift, references bool, report reporter) {
+	within(report, "cap", s.Cap, 0, 1, true)
+	within(report, "share", s.Share, 0, min(s.Cap, 1), true)
+	checkDuration(report, "within", s.Within)
+	checkName(report, "from", s.From)
+	checkName(report, "to", s.To)
+	if s.From == s.To {
+		report("to", s.To, "a place other than from")
+	}
+	if (s.Route == "") == (s.Team == "") {
+		report("route", s.Route, "set exactly one of route and team")
+	}
+	if !references {
+		return
+	}
+	if s.Route != "" {
+		checkReference(report, "route", s.Route, "routes", c.Routes)
+	}
+	if s.Team != "" {
+		checkReference(report, "team", s.Team, "teams", c.Teams)
+	}
+	_, fromRegion := c.Regions[s.From]
+	if _, toRegion := c.Regions[s.To]; fromRegion != toRegion {
+		report("to", s.To, "two regions, or two backend servers, in from and to")
+	}
+}
+
+func checkRollout(c *Configuration, _ string, r Rollout, references bool, report reporter) {
+	within(report, "cap", r.Cap, 0, 1, true)
+	checkDuration(report, "within", r.Within)
+	checkName(report, "from", r.From)
+	checkName(report, "to", r.To)
+	if r.From == r.To {
+		report("to", r.To, "a version other than from")
+	}
+	checkOneOf(report, "on-too-little-traffic", r.OnTooLittleTraffic, "finish", "revert")
+	if !references {
+		return
+	}
+	checkReference(report, "service", r.Service, "services", c.Services)
+	// A finished rollout stays valid after the service names the new version.
+	if v := c.Services[r.Service].Version; !r.Cancelled && v != "" && v != r.From && v != r.To {
+		report("from", r.From, "the service's version "+v)
+	}
+}
--- /dev/null
+++ b/core/config/codec.go
@@ -0,0 +1,64 @@
+package config
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+)
+
+// MaxBytes is the largest encoded configuration; it is the largest value of the store.
+const MaxBytes = 1 << 20
+
+// Encode returns the configuration as JSON with sorted keys, at most MaxBytes.
+func (c *Configuration) Encode() (data []byte, err error) {
+	defer func() { err = errors.Wrap(err, "encode configuration") }()
+	if data, err = json.Marshal(c); err != nil {
+		return nil, err
+	}
+	if len(data) > MaxBytes {
+		return nil, errors.Newf("configuration has %d bytes; accepted: at most %d", len(data), MaxBytes)
+	}
+	return data, nil
+}
+
+// Parse decodes and checks a whole configuration. Unknown kinds and keys are refused.
+func Parse(data []byte) (c Configuration, err error) {
+	defer func() { err = errors.Wrap(err, "parse configuration") }()
+	if len(data) > MaxBytes {
+		return c, errors.Newf("configuration has %d bytes; accepted: at most %d", len(data), MaxBytes)
+	}
+	var fields map[string]json.RawMessage
+	if err = decodeStrict(data, &fields); err != nil {
+		return c, err
+	}
+	var parsed Configuration
+	for field, raw := range fields {
+		switch field {
+		case "sequence":
+			err = decodeStrict(raw, &parsed.Sequence)
+		case "change-id":
+			err = decodeStrict(raw, &parsed.ChangeID)
+		default:
+			err = parseCollection(&parsed, field, raw)
+		}
+		if err != nil {
+			return c, errors.Wrapf(err, "%s", field)
+		}
+	}
+	if err = parsed.Check(); err != nil {
+		return c, err
+	}
+	return parsed.Indexed(), nil
+}
+
+func parseCollection(c *Configuration, kind string, raw []byte) error {
+	col, ok := collectionOf(kind)
+	if !ok {
+		return errors.Newf("unknown key %q; accepted: sequence, change-id, %v", kind, Kinds())
+	}
+	var documents map[string]json.RawMessage
+	if err := decodeStrict(raw, &documents); err != nil {
+		return err
+	}
+	return col.load(c, documents)
+}
--- a/core/config/documents.go
+++ b/core/config/documents.go
@@ -40,7 +40,7 @@
 	Burst float64 `json:"burst" toml:"burst"`
 	// Weight is the team's part in fair sharing, above 0; 0 means 1.
 	Weight float64 `json:"weight,omitempty" toml:"weight,omitempty"`
-	// Routes names the routes that the teams may use.
+	// Routes names the routes that the teams may use; an empty list allows open routes only.
 	Routes []string `json:"routes,omitempty" toml:"routes,omitempty"`
 }
 
@@ -59,7 +59,7 @@
 
 // Route maps a path prefix to a service.
 type Route struct {
-	// PathPrefix starts with a slash; the longest matching prefix wins.
+	// PathPrefix starts with a slash and matches whole path segments; the longest matching prefix wins.
 	PathPrefix string `json:"path-prefix" toml:"path-prefix"`
 	Service    string `json:"service" toml:"service"`
 	Class      Class  `json:"class" toml:"class"`
@@ -105,7 +105,7 @@
 	// From and To name two regions, or two backend servers.
 	From string `json:"from" toml:"from"`
 	To   string `json:"to" toml:"to"`
-	// Share is the part of From's traffic to move, in (0, 1].
+	// Share is the part of From's traffic to move, in (0, Cap].
 	Share float64 `json:"share" toml:"share"`
 	// Cap is the largest share that may be moved at any instant, in (0, 1].
 	Cap float64 `json:"cap" toml:"cap"`
@@ -144,6 +144,9 @@
 	Links     map[string]Link         `json:"links,omitempty"`
 	Shifts    map[string]Shift        `json:"shifts,omitempty"`
 	Rollouts  map[string]Rollout      `json:"rollouts,omitempty"`
+
+	// lookup is built by WithEdits, WithChange, Parse and Indexed, and is nil in a literal.
+	lookup *lookup
 }
 
 // StoreKey is the key of the configuration in the store.
--- /dev/null
+++ b/core/config/file.go
@@ -0,0 +1,151 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// changeFile is the TOML form of a change: one table for each document, such as [teams.alpha].
+type changeFile struct {
+	Templates map[string]Template     `toml:"templates"`
+	Teams     map[string]Team         `toml:"teams"`
+	Routes    map[string]Route        `toml:"routes"`
+	Services  map[string]Service      `toml:"services"`
+	Servers   map[string]Server       `toml:"servers"`
+	Hosts     map[string]HostOverride `toml:"hosts"`
+	Regions   map[string]Region       `toml:"regions"`
+	Links     map[string]Link         `toml:"links"`
+	Shifts    map[string]Shift        `toml:"shifts"`
+	Rollouts  map[string]Rollout      `toml:"rollouts"`
+	// Delete lists documents to delete as kind/name.
+	Delete []string `toml:"delete"`
+}
+
+// FileHelp describes a change file to operators.
+const FileHelp = `A change file is TOML with one table for each document to set, and a list of documents to delete:
+
+  delete = ["teams/old"]
+
+  [teams.alpha]
+  template = "standard"
+  rate = 50.0
+
+Kinds: templates, teams, routes, services, servers, hosts, regions, links, shifts, rollouts.`
+
+// ParseEdits reads a change file. Errors name file, line, key and accepted range.
+// References between documents are checked later, against the configuration that the edits apply to.
+func ParseEdits(file string, data []byte) (edits []Edit, err error) {
+	if len(data) > MaxBytes {
+		return nil, errors.Newf("%s: %d bytes; accepted: at most %d", file, len(data), MaxBytes)
+	}
+	var parsed changeFile
+	if err := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(&parsed); err != nil {
+		return nil, fileError(file, err)
+	}
+	documents := &Configuration{
+		Templates: parsed.Templates, Teams: parsed.Teams, Routes: parsed.Routes, Services: parsed.Services,
+		Servers: parsed.Servers, Hosts: parsed.Hosts, Regions: parsed.Regions, Links: parsed.Links,
+		Shifts: parsed.Shifts, Rollouts: parsed.Rollouts,
+	}
+	var problems Problems
+	for _, col := range collections {
+		for _, name := range col.names(documents) {
+			problems = checkDocument(documents, col, name, false, problems)
+			document, err := col.document(documents, name)
+			if err != nil {
+				return nil, errors.Wrapf(err, "%s: %s/%s", file, col.kind, name)
+			}
+			edits = append(edits, Edit{Kind: col.kind, Name: name, Document: document})
+		}
+	}
+	if len(problems) > 0 {
+		return nil, placeProblems(file, data, problems)
+	}
+	for _, document := range parsed.Delete {
+		kind, name, ok := strings.Cut(document, "/")
+		if _, known := collectionOf(kind); !ok || !known || !namePattern.MatchString(name) {
+			line := lines(data)["delete"]
+			return nil, errors.Newf("%s:%d: delete = %q; accepted: kind/name with a kind of %v", file, line, document, Kinds())
+		}
+		edits = append(edits, Edit{Kind: kind, Name: name})
+	}
+	if len(edits) == 0 || len(edits) > MaxEdits {
+		return nil, errors.Newf("%s: %d documents; accepted: 1 to %d", file, len(edits), MaxEdits)
+	}
+	return edits, nil
+}
+
+// fileError adds file, line and key to an error of the TOML decoder.
+func fileError(file string, err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) && len(strict.Errors) > 0 {
+		first := strict.Errors[0]
+		row, _ := first.Position()
+		return errors.Newf("%s:%d: %s: unknown key; accepted: %s", file, row, strings.Join(first.Key(), "."), keysAccepted(first.Key()))
+	}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		row, _ := decode.Position()
+		return errors.Newf("%s:%d: %s: %s", file, row, strings.Join(decode.Key(), "."), decode.Error())
+	}
+	return errors.Wrap(err, file)
+}
+
+func keysAccepted(key toml.Key) string {
+	if _, ok := collectionOf(key[0]); !ok {
+		return fmt.Sprintf("delete and %v", Kinds())
+	}
+	return "a key of kind " + key[0]
+}
+
+// placeProblems puts the file and line in front of each problem.
+func placeProblems(file string, data []byte, problems Problems) error {
+	at := lines(data)
+	texts := make([]string, 0, min(len(problems), maxProblems))
+	for _, p := range problems[:min(len(problems), maxProblems)] {
+		table := strings.Replace(p.Document, "/", ".", 1)
+		line := at[table+"."+p.Key]
+		if line == 0 {
+			line = at[table]
+		}
+		texts = append(texts, fmt.Sprintf("%s:%d: %s", file, line, p))
+	}
+	return errors.New(strings.Join(texts, "\n"))
+}
+
+// lines maps each dotted key and table of a TOML document to its line.
+func lines(data []byte) map[string]int {
+	at := map[string]int{}
+	var parser unstable.Parser
+	parser.Reset(data)
+	var table string
+	for parser.NextExpression() {
+		node := parser.Expression()
+		path, line := keyOf(&parser, node)
+		switch node.Kind {
+		case unstable.Table, unstable.ArrayTable:
+			table = path + "."
+			at[path] = line
+		case unstable.KeyValue:
+			at[table+path] = line
+		}
+	}
+	return at
+}
+
+func keyOf(parser *unstable.Parser, node *unstable.Node) (path string, line int) {
+	var parts []string
+	for it := node.Key(); it.Next(); {
+		part := it.Node()
+		parts = append(parts, string(part.Data))
+		if line == 0 {
+			line = parser.Shape(part.Raw).Start.Line
+		}
+	}
+	return strings.Join(parts, "."), line
+}
--- /dev/null
+++ b/core/config/lookup.go
@@ -0,0 +1,165 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+)
+
+// lookup is the index of one configuration. It is immutable once built.
+type lookup struct {
+	// teams holds the effective values of each team.
+	teams map[string]*EffectiveTeam
+	// keys maps the SHA-256 of each key to its team.
+	keys map[[sha256.Size]byte]*EffectiveTeam
+	// prefixes maps each route's path prefix to the route's name.
+	prefixes map[string]NamedRoute
+	// longest is the length of the longest prefix, which bounds the work of a look-up.
+	longest int
+}
+
+// NamedRoute is a route with its name.
+type NamedRoute struct {
+	Name string
+	Route
+}
+
+// EffectiveTeam is a team with the values of its template filled in. It must not be changed.
+type EffectiveTeam struct {
+	Name string
+	// Rate, Burst and Weight are above 0.
+	Rate, Burst, Weight float64
+	Routes              []string
+	// RefuseWhenRegionCut is set when keyed requests are refused once the region's relay lost the store.
+	RefuseWhenRegionCut bool
+
+	allowed map[string]struct{}
+}
+
+// Allows tells whether the team may use the named route.
+func (t *EffectiveTeam) Allows(route string) bool {
+	_, ok := t.allowed[route]
+	return ok
+}
+
+// HashKey returns the form in which a team's document holds a key.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Indexed returns the configuration with its index built. Look-ups without it build one at each call.
+func (c Configuration) Indexed() Configuration {
+	c.lookup = buildLookup(&c)
+	return c
+}
+
+func (c *Configuration) index() *lookup {
+	if c.lookup != nil {
+		return c.lookup
+	}
+	return buildLookup(c)
+}
+
+func buildLookup(c *Configuration) *lookup {
+	built := &lookup{
+		teams:    make(map[string]*EffectiveTeam, len(c.Teams)),
+		keys:     make(map[[sha256.Size]byte]*EffectiveTeam, len(c.Teams)),
+		prefixes: make(map[string]NamedRoute, len(c.Routes)),
+	}
+	for name, team := range c.Teams {
+		effective := effectiveTeam(name, team, c.Templates[team.Template])
+		built.teams[name] = effective
+		for _, key := range team.Keys {
+			var sum [sha256.Size]byte
+			if n, err := hex.Decode(sum[:], []byte(key[:min(len(key), 2*sha256.Size)])); err == nil && n == len(sum) {
+				built.keys[sum] = effective
+			}
+		}
+	}
+	for name, route := range c.Routes {
+		built.prefixes[route.PathPrefix] = NamedRoute{Name: name, Route: route}
+		built.longest = max(built.longest, len(route.PathPrefix))
+	}
+	return built
+}
+
+func effectiveTeam(name string, team Team, template Template) *EffectiveTeam {
+	effective := &EffectiveTeam{
+		Name: name, Rate: template.Rate, Burst: template.Burst, Weight: template.Weight, Routes: template.Routes,
+		RefuseWhenRegionCut: team.WhenRegionCut == "refuse",
+	}
+	if team.Rate != nil {
+		effective.Rate = *team.Rate
+	}
+	if team.Burst != nil {
+		effective.Burst = *team.Burst
+	}
+	if team.Weight != nil {
+		effective.Weight = *team.Weight
+	}
+	if effective.Weight == 0 {
+		effective.Weight = 1
+	}
+	if team.Routes != nil {
+		effective.Routes = team.Routes
+	}
+	effective.allowed = make(map[string]struct{}, len(effective.Routes))
+	for _, route := range effective.Routes {
+		effective.allowed[route] = struct{}{}
+	}
+	return effective
+}
+
+// EffectiveTeam returns a team's values with those of its template filled in.
+func (c *Configuration) EffectiveTeam(name string) (*EffectiveTeam, bool) {
+	team, ok := c.index().teams[name]
+	return team, ok
+}
+
+// TeamByKey returns the team that holds key.
+func (c *Configuration) TeamByKey(key string) (*EffectiveTeam, bool) {
+	// The buffer keeps keys of ordinary length off the heap.
+	var buffer [256]byte
+	team, ok := c.index().keys[sha256.Sum256(append(buffer[:0], key...))]
+	return team, ok
+}
+
+// TeamByKeyHash returns the team that holds the key with this SHA-256.
+func (c *Configuration) TeamByKeyHash(sum [sha256.Size]byte) (*EffectiveTeam, bool) {
+	team, ok := c.index().keys[sum]
+	return team, ok
+}
+
+// RouteByPath returns the route whose prefix matches the most whole segments of a decoded path.
+// A path with a . or .. segment matches none, because a backend server could resolve it to another route.
+func (c *Configuration) RouteByPath(path string) (NamedRoute, bool) {
+	if hasDotSegment(path) {
+		return NamedRoute{}, false
+	}
+	built := c.index()
+	for end := min(len(path), built.longest); end > 0; end-- {
+		// A prefix ends at the end of the path, before a slash, or with a slash.
+		if end != len(path) && path[end] != '/' && path[end-1] != '/' {
+			continue
+		}
+		if route, ok := built.prefixes[path[:end]]; ok {
+			return route, true
+		}
+	}
+	return NamedRoute{}, false
+}
+
+func hasDotSegment(path string) bool {
+	for rest := path; ; {
+		i := strings.Index(rest, "/.")
+		if i < 0 {
+			return false
+		}
+		rest = rest[i+2:]
+		after := strings.TrimPrefix(rest, ".")
+		if rest == "" || rest[0] == '/' || after == "" || (len(after) < len(rest) && after[0] == '/') {
+			return true
+		}
+	}
+}
