--- /dev/null
+++ b/io/terminal/teams.go
@@ -0,0 +1,177 @@
+package terminal
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"vanillatally/core/config"
+)
+
+var nameArgument = argument{"name", "name of the document"}
+
+var templateListCommand = command{
+	name: "template-list", description: "list the templates", example: "template-list",
+	run: func(ctx context.Context, s *session, _ values) error {
+		current, err := s.client.Configuration(ctx)
+		if err != nil {
+			return err
+		}
+		var lines []string
+		for _, name := range current.Names("templates") {
+			t := current.Templates[name]
+			lines = append(lines, fmt.Sprintf("%-20s rate %g/s burst %g weight %g routes %s", name, t.Rate, t.Burst, t.Weight, strings.Join(t.Routes, ",")))
+		}
+		return s.print(current.Templates, strings.Join(lines, "\n"))
+	},
+}
+
+var teamListCommand = command{
+	name: "team-list", description: "list the teams with their effective values", example: "team-list",
+	run: func(ctx context.Context, s *session, _ values) error {
+		current, err := s.client.Configuration(ctx)
+		if err != nil {
+			return err
+		}
+		indexed := current.Indexed()
+		var lines []string
+		for _, name := range current.Names("teams") {
+			if t, ok := indexed.EffectiveTeam(name); ok {
+				lines = append(lines, fmt.Sprintf("%-20s rate %g/s burst %g weight %g keys %d", name, t.Rate, t.Burst, t.Weight, len(current.Teams[name].Keys)))
+			}
+		}
+		return s.print(current.Teams, strings.Join(lines, "\n"))
+	},
+}
+
+var limitFlags = []flag{
+	{"rate", "requests per second, above 0", ""},
+	{"burst", "requests, at least 1", ""},
+	{"weight", "part in fair sharing, above 0", ""},
+	{"routes", "names of routes, separated by commas", ""},
+}
+
+var templateEditCommand = command{
+	name: "template-edit", description: "create a template or change its values, which changes its teams",
+	example: "template-edit standard --rate 50 --burst 100", arguments: []argument{nameArgument}, flags: limitFlags,
+	run: func(ctx context.Context, s *session, v values) error {
+		return edit(ctx, s, "templates", v.get("name"), func(t *config.Template) error {
+			for _, n := range []struct {
+				flag  string
+				value *float64
+			}{{"rate", &t.Rate}, {"burst", &t.Burst}, {"weight", &t.Weight}} {
+				given, err := numberFlag(v, n.flag)
+				if err != nil {
+					return err
+				}
+				if given != nil {
+					*n.value = *given
+				}
+			}
+			t.Routes = listFlag(v, "routes", t.Routes)
+			return nil
+		})
+	},
+}
+
+var teamEditCommand = command{
+	name: "team-edit", description: "create a team or change its values",
+	example: "team-edit alpha --template standard --rate 80", arguments: []argument{nameArgument},
+	flags: append([]flag{
+		{"template", "name of the team's template", ""},
+		{"when-region-cut", "serve or refuse", ""},
+	}, limitFlags...),
+	run: func(ctx context.Context, s *session, v values) error {
+		return edit(ctx, s, "teams", v.get("name"), func(t *config.Team) error {
+			for _, n := range []struct {
+				flag  string
+				value **float64
+			}{{"rate", &t.Rate}, {"burst", &t.Burst}, {"weight", &t.Weight}} {
+				given, err := numberFlag(v, n.flag)
+				if err != nil {
+					return err
+				}
+				if given != nil {
+					*n.value = given
+				}
+			}
+			if given := v.get("template"); given != "" {
+				t.Template = given
+			}
+			if given := v.get("when-region-cut"); given != "" {
+				t.WhenRegionCut = given
+			}
+			t.Routes = listFlag(v, "routes", t.Routes)
+			return nil
+		})
+	},
+}
+
+// keyBytes is the entropy of a generated key.
+const keyBytes = 24
+
+var keyGrantCommand = command{
+	name: "key-grant", description: "grant a team a key; without --key a new one is made and printed once",
+	example: "key-grant alpha", arguments: []argument{{"team", "name of the team"}},
+	flags: []flag{{"key", "the key to grant", ""}},
+	run: func(ctx context.Context, s *session, v values) error {
+		key := v.get("key")
+		if key == "" {
+			random := make([]byte, keyBytes)
+			_, _ = rand.Read(random)
+			key = hex.EncodeToString(random)
+		}
+		err := edit(ctx, s, "teams", v.get("team"), func(t *config.Team) error {
+			if t.Template == "" {
+				return errors.Newf("team %q does not exist", v.get("team"))
+			}
+			t.Keys = append(t.Keys, config.HashKey(key))
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+		return s.print(map[string]string{"key": key}, "key: "+key)
+	},
+}
+
+var keyWithdrawCommand = command{
+	name: "key-withdraw", description: "withdraw a team's key; it stops working at every host within 3 s",
+	example: "key-withdraw alpha --key 3f…", arguments: []argument{{"team", "name of the team"}},
+	flags: []flag{{"key", "the key to withdraw", ""}},
+	run: func(ctx context.Context, s *session, v values) error {
+		hash := config.HashKey(v.get("key"))
+		return edit(ctx, s, "teams", v.get("team"), func(t *config.Team) error {
+			if !slices.Contains(t.Keys, hash) {
+				return errors.Newf("team %q has no such key", v.get("team"))
+			}
+			t.Keys = slices.DeleteFunc(t.Keys, func(k string) bool { return k == hash })
+			return nil
+		})
+	},
+}
+
+// numberFlag returns nil when the flag was not given.
+func numberFlag(v values, name string) (*float64, error) {
+	if v.get(name) == "" {
+		return nil, nil
+	}
+	n, err := strconv.ParseFloat(v.get(name), 64)
+	if err != nil {
+		return nil, errors.Newf("--%s: %q is not a number", name, v.get(name))
+	}
+	return &n, nil
+}
+
+func listFlag(v values, name string, current []string) []string {
+	if v.get(name) == "" {
+		return current
+	}
+	return strings.Split(v.get(name), ",")
+}
