--- a/io/terminal/command.go
+++ b/io/terminal/command.go
@@ -88,7 +88,7 @@
 type HostRunner func(file string) int
 
 // Main parses args, runs the command and returns its exit code.
-func Main(args []string, out io.Writer, runHost HostRunner) int {
+func Main(args []string, out, errOut io.Writer, runHost HostRunner) int {
 	parser := flaggy.NewParser("vanillatally")
 	parser.Description = "steers traffic of teams to backend servers across regions"
 	parser.ShowHelpOnUnexpected = true
@@ -110,7 +110,7 @@
 		parser.AttachSubcommand(attached[i], 1)
 	}
 	if err := parser.ParseArgs(args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		fmt.Fprintln(errOut, err)
 		return ExitUsage
 	}
 	if host.Used {
@@ -121,7 +121,7 @@
 			continue
 		}
 		s := &session{client: operators.NewClient(address, credential), out: out, json: asJSON, progress: isTerminal(out)}
-		return exitCode(c.run(context.Background(), s, given[i]))
+		return exitCode(errOut, c.run(context.Background(), s, given[i]))
 	}
 	parser.ShowHelp()
 	return ExitUsage
@@ -143,19 +143,19 @@
 	return sub, given
 }
 
-func exitCode(err error) int {
+func exitCode(errOut io.Writer, err error) int {
 	var exit *exitError
 	switch {
 	case err == nil:
 		return ExitOK
 	case errors.As(err, &exit):
-		fmt.Fprintln(os.Stderr, exit.message)
+		fmt.Fprintln(errOut, exit.message)
 		return exit.code
 	case errors.Is(err, errUsage):
-		fmt.Fprintln(os.Stderr, err)
+		fmt.Fprintln(errOut, err)
 		return ExitUsage
 	}
-	fmt.Fprintln(os.Stderr, err)
+	fmt.Fprintln(errOut, err)
 	return ExitFailed
 }
 
