Add the membership overlay

Cause: hosts need to know each other, find failures within seconds and pass messages to all hosts at a cost that does not depend on the fleet's size.

--- /dev/null
+++ b/host/members/broadcast.go
@@ -0,0 +1,98 @@
+package members
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxSeen bounds the table of handled broadcasts. When it is full the oldest id is dropped, so a
+// duplicate that arrives after 4,096 newer broadcasts would be handled again.
+const maxSeen = 4096
+
+// maxHops ends a flood whose ids were dropped from the tables on its way. 4,500 hosts need about 6.
+const maxHops = 32
+
+// flood is a broadcast on its way over the overlay.
+type flood struct {
+	Origin string `cbor:"origin"`
+	ID     uint64 `cbor:"id"`
+	Hops   int    `cbor:"hops"`
+	Kind   string `cbor:"kind"`
+	Body   []byte `cbor:"body"`
+}
+
+type floodID struct {
+	origin string
+	id     uint64
+}
+
+// Broadcast floods a message over the overlay. Each other host passes it once to its handler of kind,
+// with this host as the sender; this host does not handle it. A host that is cut off misses it.
+func (s *Service) Broadcast(ctx context.Context, kind string, body []byte) (err error) {
+	if err := ctx.Err(); err != nil {
+		return errors.Wrapf(err, "broadcast %s", kind)
+	}
+	message := flood{Origin: s.options.Self.Host, ID: s.nextID.Add(1), Kind: kind, Body: body}
+	s.mu.Lock()
+	s.seen.add(floodID{origin: message.Origin, id: message.ID})
+	links := s.view.Links()
+	s.mu.Unlock()
+	if s.forward(links, "", message) == 0 && len(links) > 0 {
+		return errors.Wrapf(ErrQueueFull, "broadcast %s", kind)
+	}
+	return nil
+}
+
+// forward queues the message for all links but one and returns how many took it.
+func (s *Service) forward(links []string, except string, message flood) (queued int) {
+	for _, to := range links {
+		if to != except && s.enqueue(to, kindBroadcast, message) {
+			queued++
+		}
+	}
+	return queued
+}
+
+func (s *Service) handleBroadcast(ctx context.Context, from string, message flood) (struct{}, error) {
+	s.mu.Lock()
+	fresh := s.seen.add(floodID{origin: message.Origin, id: message.ID})
+	links := s.view.Links()
+	s.mu.Unlock()
+	if !fresh {
+		return struct{}{}, nil
+	}
+	if message.Hops++; message.Hops < maxHops {
+		// The flood goes on before the handler runs, so a slow handler delays nobody else.
+		s.forward(links, from, message)
+	}
+	handler, known := s.options.Peers.Lookup(message.Kind)
+	if !known {
+		return struct{}{}, nil
+	}
+	_, err := handler(ctx, message.Origin, message.Body)
+	return struct{}{}, errors.Wrapf(err, "handle broadcast %s of %s", message.Kind, message.Origin)
+}
+
+// seenTable remembers the last ids that were added, at most the length of order.
+type seenTable struct {
+	ids   map[floodID]struct{}
+	order []floodID
+	next  int
+}
+
+func newSeenTable(size int) *seenTable {
+	return &seenTable{ids: make(map[floodID]struct{}, size), order: make([]floodID, size)}
+}
+
+// add says whether id was not yet known.
+func (t *seenTable) add(id floodID) bool {
+	if _, known := t.ids[id]; known {
+		return false
+	}
+	delete(t.ids, t.order[t.next])
+	t.order[t.next] = id
+	t.next = (t.next + 1) % len(t.order)
+	t.ids[id] = struct{}{}
+	return true
+}
--- /dev/null
+++ b/host/members/service.go
@@ -0,0 +1,380 @@
+// Package members runs the membership overlay: it exchanges heartbeats with the neighbours, reads the
+// platform list and floods broadcasts over the overlay.
+package members
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"vanillatally/core/membership"
+	"vanillatally/io/peers"
+	"vanillatally/io/platform"
+)
+
+// Kinds of the overlay's messages.
+const (
+	kindHeartbeat = "heartbeat"
+	kindUpdate    = "membership-update"
+	kindExchange  = "membership-exchange"
+	kindBroadcast = "broadcast"
+)
+
+const (
+	// tickPeriod bounds how much later than its time a suspicion is raised.
+	tickPeriod = 250 * time.Millisecond
+	// sendShards workers send at once; messages to one host keep their order.
+	sendShards = 8
+	// queueLength bounds the messages that wait in one shard. A further message is dropped and counted;
+	// heartbeats and exchanges repair what is lost.
+	queueLength     = 512
+	exchangeWorkers = 3
+	sendTimeout     = time.Second
+	listPeriod      = 5 * time.Second
+	listTimeout     = 3 * time.Second
+)
+
+// ErrQueueFull is returned when a broadcast could not be queued for any neighbour.
+var ErrQueueFull = errors.New("the send queues of the overlay are full")
+
+// Options are what a Service works with. Self, Peers and Caller are required.
+type Options struct {
+	// Self describes this host. Its incarnation defaults to the start time in milliseconds.
+	Self membership.Member
+	// Seeds are peer addresses from the settings. Caller is called with such an address as the host
+	// id until the host behind it is known; Service.Address resolves it to itself.
+	Seeds  []string
+	Caller peers.Caller
+	// Peers receives the handlers of the overlay, and holds those of the kinds that are broadcast.
+	Peers *peers.Table
+	// List may be nil: seeds and peers suffice.
+	List platform.List
+	// Now is the monotonic clock since the start of the process.
+	Now    func() time.Duration
+	Timing membership.Timing
+	// Digest returns what is in force at this host.
+	Digest func() membership.Digest
+	// OnBehind is called when a peer shows a higher sequence or epoch than Digest. It must not block.
+	OnBehind func(host string, shown membership.Digest)
+	// OnChange is called with the records that changed. It must not block.
+	OnChange func(changed []membership.Member)
+	Logger   *slog.Logger
+}
+
+// Service is this host's part in the overlay.
+type Service struct {
+	options  Options
+	mu       sync.Mutex
+	view     membership.View // guarded by mu
+	left     bool            // guarded by mu
+	seen     *seenTable      // guarded by mu
+	snapshot atomic.Pointer[[]membership.Member]
+	queues   [sendShards]chan outgoing
+	// exchanges holds the targets of exchanges; one that does not fit is tried again by a later heartbeat.
+	exchanges chan string
+	nextID    atomic.Uint64
+	dropped   atomic.Uint64
+	done      chan struct{}
+}
+
+type outgoing struct {
+	to, kind string
+	message  any
+}
+
+// update is the flood of changed records.
+type update struct {
+	Members []membership.Member `cbor:"members"`
+}
+
+// New returns a service that takes part in the overlay once Run is called. It registers its handlers
+// in options.Peers.
+func New(options Options) *Service {
+	if options.Now == nil {
+		start := time.Now()
+		options.Now = func() time.Duration { return time.Since(start) }
+	}
+	if options.Timing == (membership.Timing{}) {
+		options.Timing = membership.DefaultTiming()
+	}
+	if options.Self.Incarnation == 0 {
+		options.Self.Incarnation = uint64(time.Now().UnixMilli())
+	}
+	if options.Digest == nil {
+		options.Digest = func() membership.Digest { return membership.Digest{} }
+	}
+	if options.OnBehind == nil {
+		options.OnBehind = func(string, membership.Digest) {}
+	}
+	if options.OnChange == nil {
+		options.OnChange = func([]membership.Member) {}
+	}
+	if options.Logger == nil {
+		options.Logger = slog.New(slog.DiscardHandler)
+	}
+	s := &Service{
+		options: options, seen: newSeenTable(maxSeen), done: make(chan struct{}),
+		view:      membership.New(options.Timing, options.Self, options.Seeds, options.Now()),
+		exchanges: make(chan string, 4*exchangeWorkers),
+	}
+	// The ids of an earlier process on this host are lower, because its incarnation was.
+	s.nextID.Store(options.Self.Incarnation << 20)
+	for i := range s.queues {
+		s.queues[i] = make(chan outgoing, queueLength)
+	}
+	s.publish(s.view)
+	peers.Handle(options.Peers, kindHeartbeat, s.handleHeartbeat)
+	peers.Handle(options.Peers, kindUpdate, s.handleUpdate)
+	peers.Handle(options.Peers, kindExchange, s.handleExchange)
+	peers.Handle(options.Peers, kindBroadcast, s.handleBroadcast)
+	return s
+}
+
+// Run takes part in the overlay until ctx ends.
+func (s *Service) Run(ctx context.Context) (err error) {
+	defer close(s.done)
+	defer func() { err = errors.Wrap(err, "run the membership overlay") }()
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.Go(func() error { return s.tick(groupCtx) })
+	for i := range s.queues {
+		group.Go(func() error { return s.send(groupCtx, s.queues[i]) })
+	}
+	for range exchangeWorkers {
+		group.Go(func() error { return s.exchange(groupCtx) })
+	}
+	if s.options.List != nil {
+		group.Go(func() error { return s.poll(groupCtx) })
+	}
+	err = group.Wait()
+	s.depart(ctx)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// Done is closed when Run has returned.
+func (s *Service) Done() <-chan struct{} { return s.done }
+
+// Members returns all known hosts sorted by id, this host and dead hosts included. The slice is
+// shared and must not be changed.
+func (s *Service) Members() []membership.Member { return *s.snapshot.Load() }
+
+// Address returns the peer address of a host.
+func (s *Service) Address(host string) (string, bool) {
+	s.mu.Lock()
+	view := s.view
+	s.mu.Unlock()
+	return view.Address(host)
+}
+
+// Links returns the hosts with which this host exchanges heartbeats.
+func (s *Service) Links() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Links()
+}
+
+// Dropped returns the number of messages that found their send queue full.
+func (s *Service) Dropped() uint64 { return s.dropped.Load() }
+
+// Leave announces that this host leaves. It keeps taking part until Run's context ends, and then
+// announces that it has stopped.
+func (s *Service) Leave(ctx context.Context) error {
+	s.mu.Lock()
+	s.left = true
+	s.mu.Unlock()
+	s.apply(func(v membership.View, now time.Duration) (membership.View, membership.Output) {
+		return v.WithLeaving(now)
+	})
+	return ctx.Err()
+}
+
+func (s *Service) depart(ctx context.Context) {
+	s.mu.Lock()
+	left := s.left
+	_, out := s.view.WithDeparted(s.options.Now())
+	s.mu.Unlock()
+	if !left {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sendTimeout)
+	defer cancel()
+	for _, to := range out.Links {
+		_ = peers.Send(ctx, s.options.Caller, to, kindUpdate, update{Members: out.News})
+	}
+}
+
+// apply replaces the view and sends what follows from it.
+func (s *Service) apply(step func(membership.View, time.Duration) (membership.View, membership.Output)) {
+	s.mu.Lock()
+	view, out := step(s.view, s.options.Now())
+	s.view = view
+	if len(out.News) > 0 {
+		s.publish(view)
+	}
+	s.mu.Unlock()
+	s.emit(out)
+}
+
+func (s *Service) publish(view membership.View) {
+	members := view.Members()
+	s.snapshot.Store(&members)
+}
+
+func (s *Service) emit(out membership.Output) {
+	if len(out.News) > 0 {
+		for _, to := range out.Links {
+			s.enqueue(to, kindUpdate, update{Members: out.News})
+		}
+		for _, m := range out.News {
+			s.options.Logger.Debug("member changed", "host", m.Host, "incarnation", m.Incarnation, "state", m.State)
+		}
+		s.options.OnChange(out.News)
+	}
+	if len(out.Beats) > 0 {
+		digest := s.options.Digest()
+		for _, b := range out.Beats {
+			b.Heartbeat.Sequence, b.Heartbeat.Epoch = digest.Sequence, digest.Epoch
+			s.enqueue(b.To, kindHeartbeat, b.Heartbeat)
+		}
+	}
+	for _, to := range out.Exchange {
+		select {
+		case s.exchanges <- to:
+		default:
+		}
+	}
+}
+
+func (s *Service) enqueue(to, kind string, message any) bool {
+	select {
+	case s.queues[xxhash.Sum64String(to)%sendShards] <- outgoing{to: to, kind: kind, message: message}:
+		return true
+	default:
+		s.dropped.Add(1)
+		return false
+	}
+}
+
+func (s *Service) tick(ctx context.Context) error {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		s.apply(func(v membership.View, now time.Duration) (membership.View, membership.Output) {
+			return v.Tick(now, rand.Uint64())
+		})
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Service) send(ctx context.Context, queue <-chan outgoing) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case m := <-queue:
+			sendCtx, cancel := context.WithTimeout(ctx, sendTimeout)
+			// A lost message shows itself as silence of the peer.
+			_ = peers.Send(sendCtx, s.options.Caller, m.to, m.kind, m.message)
+			cancel()
+		}
+	}
+}
+
+func (s *Service) exchange(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case to := <-s.exchanges:
+			s.exchangeWith(ctx, to)
+		}
+	}
+}
+
+func (s *Service) exchangeWith(ctx context.Context, to string) {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	s.mu.Lock()
+	request := s.view.Request(to)
+	s.mu.Unlock()
+	answer, err := peers.Call[membership.Exchange, membership.ExchangeAnswer](ctx, s.options.Caller, to, kindExchange, request)
+	if err != nil {
+		return
+	}
+	s.apply(func(v membership.View, now time.Duration) (membership.View, membership.Output) {
+		return v.Answered(now, to, answer)
+	})
+}
+
+// poll reads the platform list. An unreadable list leaves the last one in force.
+func (s *Service) poll(ctx context.Context) error {
+	for {
+		s.readList(ctx)
+		jitter := time.Duration(rand.Int64N(int64(listPeriod / 5)))
+		timer := time.NewTimer(listPeriod - listPeriod/10 + jitter)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-timer.C:
+		}
+	}
+}
+
+func (s *Service) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	hosts, err := s.options.List.Hosts(ctx)
+	if err != nil {
+		s.options.Logger.Warn("platform list is unreadable", "error", err)
+		return
+	}
+	listed := make(map[string]membership.Listed, len(hosts))
+	for _, h := range hosts[:min(len(hosts), membership.MaxMembers)] {
+		listed[h.ID] = membership.Listed{PeerAddress: h.PeerAddress, Leaving: h.Leaving}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view = s.view.WithListed(listed)
+	s.publish(s.view)
+}
+
+func (s *Service) handleHeartbeat(_ context.Context, from string, beat membership.Heartbeat) (struct{}, error) {
+	s.apply(func(v membership.View, now time.Duration) (membership.View, membership.Output) {
+		return v.Heard(now, from, beat)
+	})
+	own := s.options.Digest()
+	if beat.Sequence > own.Sequence || beat.Epoch > own.Epoch {
+		s.options.OnBehind(from, membership.Digest{Sequence: beat.Sequence, Epoch: beat.Epoch})
+	}
+	return struct{}{}, nil
+}
+
+func (s *Service) handleUpdate(_ context.Context, _ string, message update) (struct{}, error) {
+	s.apply(func(v membership.View, now time.Duration) (membership.View, membership.Output) {
+		return v.Learn(now, message.Members)
+	})
+	return struct{}{}, nil
+}
+
+func (s *Service) handleExchange(_ context.Context, _ string, request membership.Exchange) (answer membership.ExchangeAnswer, err error) {
+	s.apply(func(v membership.View, now time.Duration) (membership.View, membership.Output) {
+		v, a, out := v.Answer(now, request)
+		answer = a
+		return v, out
+	})
+	return answer, nil
+}
