--- /dev/null
+++ b/core/steering/feedback.go
@@ -0,0 +1,98 @@
+package steering
+
+import (
+	"slices"
+	"time"
+)
+
+// FeedbackOptions are the constants of the control loop.
+type FeedbackOptions struct {
+	// Limit is the part of a site's capacity that decisions use, in (0, 1].
+	Limit float64
+	// Settle is how long a change of a site's share takes to show fully in its measured load: the longest time to
+	// live of an answer plus the lag of the measurements. A site's share is not changed again before.
+	Settle time.Duration
+	// Readmit is the wait after a lost site returns; it doubles with each further loss up to MaxReadmit.
+	Readmit, MaxReadmit time.Duration
+	// Forget is the time without a loss after which earlier losses no longer count.
+	Forget time.Duration
+}
+
+// DefaultFeedback suits answers that live 5 s ± 20% and load reports that lag by up to 2 s.
+var DefaultFeedback = FeedbackOptions{
+	Limit: 0.95, Settle: 8 * time.Second, Readmit: 5 * time.Second, MaxReadmit: 5 * time.Minute, Forget: 15 * time.Minute,
+}
+
+// Feedback adapts each site's Admit to lagging measurements. It is immutable: Step returns the next value.
+type Feedback struct {
+	options FeedbackOptions
+	sites   []siteState
+}
+
+type siteState struct {
+	lost   bool
+	losses int
+	// lostAt is the time of the last loss, until the time before which Admit stays as it is.
+	lostAt, until time.Duration
+}
+
+// NewFeedback returns the control loop in its initial state.
+func NewFeedback(options FeedbackOptions) Feedback { return Feedback{options: options} }
+
+// firstShare is the part of its own clients that a site gets back first after a loss; its cache is cold.
+const firstShare = 0.25
+
+// Step lowers Admit at sites above their limit, raises it where there is room, and readmits returned sites in steps.
+// Lowering moves only the site's own clients, and raising only brings them back. loads counts cached answers.
+func (f Feedback) Step(now time.Duration, s *Snapshot, loads []float64) (Feedback, *Snapshot) {
+	next := Feedback{options: f.options, sites: slices.Grow(slices.Clone(f.sites), len(s.sites))[:max(len(f.sites), len(s.sites))]}
+	sites := s.Sites()
+	changed := false
+	for id := range sites {
+		load := 0.0
+		if id < len(loads) {
+			load = loads[id]
+		}
+		admit := next.sites[id].step(now, f.options, sites[id], load)
+		changed = changed || admit != sites[id].Admit
+		sites[id].Admit = admit
+	}
+	if !changed {
+		return next, s
+	}
+	return next, s.WithSites(sites)
+}
+
+func (st *siteState) step(now time.Duration, o FeedbackOptions, site Site, load float64) float64 {
+	room := o.Limit * site.Capacity * site.Health
+	switch {
+	case site.Health <= 0:
+		if !st.lost {
+			if st.losses > 0 && now-st.lostAt > o.Forget {
+				st.losses = 0
+			}
+			st.lost, st.lostAt = true, now
+			st.losses++
+		}
+		// The site stays closed for its wait once it is healthy again.
+		st.until = now + min(o.MaxReadmit, o.Readmit<<min(st.losses-1, 16))
+		return 0
+	case now < st.until:
+		return site.Admit
+	case st.lost:
+		st.lost, st.until = false, now+o.Settle
+		return firstShare
+	case load > room && site.Admit > 0:
+		st.until = now + o.Settle
+		return site.Admit * room / load
+	case site.Admit < 1 && load < room:
+		st.until = now + o.Settle
+		// Doubling at most, and never beyond what the measured load says the limit allows.
+		factor := 2.0
+		if load > 0 {
+			factor = min(factor, room/load)
+		}
+		return min(1, site.Admit*factor)
+	}
+	return site.Admit
+}
