Add the request path from caller to backend server

Cause: requests could not be served yet. Change: adds the chain of filters (identify, route, deadline, quarantine, admission, queue, claim, choose, permit, forward, answer) with quarantine and queue passing requests on for now, local versions of the other mechanisms, the callers' server and refusals, a connection pool over http.Request.Write and http.ReadResponse that never repeats a request, the selection of backend servers, and a stand-in backend server with faults.

--- /dev/null
+++ b/core/retry/budget.go
@@ -0,0 +1,43 @@
+// Package retry decides whether and when something that failed is tried again.
+package retry
+
+import (
+	"math"
+	"time"
+)
+
+// Budget bounds retries to a part of the requests. It is an immutable value.
+type Budget struct {
+	// tokens is in [0, maxTokens]; each request adds Share, each retry takes 1.
+	tokens float64
+}
+
+// Share is the extra load that retries may cause.
+const Share = 0.1
+
+// maxTokens bounds the burst of retries after a quiet time; the start value lets a host without history retry.
+const (
+	maxTokens   = 10
+	startTokens = 3
+)
+
+// NewBudget returns the budget of a host that has just started.
+func NewBudget() Budget { return Budget{tokens: startTokens} }
+
+// WithRequest returns the budget after one more first attempt.
+func (b Budget) WithRequest() Budget { return Budget{tokens: min(b.tokens+Share, maxTokens)} }
+
+// WithRetry takes one retry, and reports whether the budget allows it.
+func (b Budget) WithRetry() (Budget, bool) {
+	if b.tokens < 1 {
+		return b, false
+	}
+	return Budget{tokens: b.tokens - 1}, true
+}
+
+// Backoff returns the wait before retry number attempt (from 0): exponential from base to limit,
+// of which u, uniform in [0, 1), takes up to half away, so that callers do not retry together.
+func Backoff(attempt int, base, limit time.Duration, u float64) time.Duration {
+	wait := min(float64(base)*math.Exp2(float64(min(attempt, 30))), float64(limit))
+	return time.Duration(wait * (1 - u/2))
+}
--- /dev/null
+++ b/host/request/admission.go
@@ -0,0 +1,34 @@
+package request
+
+import (
+	"context"
+	"net/http"
+
+	"vanillatally/io/callers"
+)
+
+// admit charges the request to its team's rate. Requests on open routes without a key are not counted.
+func admit(x *exchange) error {
+	if x.team == "" {
+		return x.next()
+	}
+	decision, err := x.service.options.Admitter.Admit(x.context, x.team, 1)
+	if err != nil {
+		if x.context.Err() != nil || context.Cause(x.context) != nil {
+			return callers.Refuse(statusClientGone, "cancelled", "the caller has gone")
+		}
+		return callers.Refuse(http.StatusServiceUnavailable, "admission-failed", "the rate could not be checked").WithRetryAfter(retryLater)
+	}
+	if !decision.Admitted {
+		status := http.StatusTooManyRequests
+		if decision.Reason != "rate-exceeded" {
+			status = http.StatusServiceUnavailable
+		}
+		return callers.Refuse(status, string(decision.Reason), "the team's rate does not admit the request now").
+			WithRetryAfter(decision.RetryAfter)
+	}
+	return x.next()
+}
+
+// statusClientGone is the conventional status for a caller that disconnected; nobody reads it but logs.
+const statusClientGone = 499
--- /dev/null
+++ b/host/request/answer.go
@@ -0,0 +1,107 @@
+package request
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"vanillatally/core/claim"
+	"vanillatally/io/backends"
+)
+
+// writeTimeout bounds the time in which a caller takes one part of a long response.
+const writeTimeout = 30 * time.Second
+
+// notPassedOn are the headers that concern the connection to the backend server only.
+var notPassedOn = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Transfer-Encoding", "Trailer", "Upgrade", "X-Load", "X-Shed"}
+
+// answer passes the response on to the caller. A response that cannot be completed is aborted.
+func answer(x *exchange) error {
+	response := x.response
+	for _, name := range notPassedOn {
+		delete(response.Header, name)
+	}
+	delete(response.Header, "X-Request-Id")
+	x.status = response.Status
+	if x.claimed != nil {
+		x.finishClaim(storedResult(x.response))
+	}
+	h := x.w.Header()
+	for name, values := range response.Header {
+		h[name] = values
+	}
+	if x.callerID != "" {
+		h["X-Request-Id"] = []string{x.callerID}
+	}
+	if response.Rest == nil && len(response.Trailer) == 0 && x.r.Method != http.MethodHead && bodyAllowed(response.Status) {
+		h["Content-Length"] = []string{strconv.Itoa(len(response.Body))}
+	}
+	if len(response.Trailer) > 0 {
+		h.Del("Content-Length")
+	}
+	if response.Rest == nil {
+		// Nothing of this host is needed while a slow caller reads.
+		x.release()
+	}
+	x.w.WriteHeader(response.Status)
+	if _, err := x.w.Write(response.Body); err != nil && x.r.Method != http.MethodHead && bodyAllowed(response.Status) {
+		return x.abort()
+	}
+	if response.Rest != nil {
+		if err := x.stream(response.Rest); err != nil {
+			return x.abort()
+		}
+	}
+	for name, values := range response.Trailer {
+		h[http.TrailerPrefix+name] = values
+	}
+	return x.next()
+}
+
+func bodyAllowed(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// storedResult is what a resend of the request gets.
+func storedResult(response *backends.Response) claim.Result {
+	if response.Rest != nil || len(response.Body) > claim.MaxBodyBytes {
+		return claim.Result{Unknown: true}
+	}
+	header := response.Header.Clone()
+	delete(header, "Date")
+	return claim.Result{Status: response.Status, Header: header, Body: response.Body}
+}
+
+// stream passes on the rest of a long response as it arrives.
+func (x *exchange) stream(rest io.ReadCloser) error {
+	control := http.NewResponseController(x.w)
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := rest.Read(buffer)
+		if n > 0 {
+			// Some writers have no deadlines.
+			_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if _, err := x.w.Write(buffer[:n]); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return control.SetWriteDeadline(time.Time{})
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// abort gives up a response that has begun.
+func (x *exchange) abort() error {
+	if x.response.Rest != nil {
+		// The connection is closed; there is nothing to do about an error.
+		_ = x.response.Rest.Close()
+	}
+	return errAborted
+}
--- /dev/null
+++ b/host/request/body.go
@@ -0,0 +1,128 @@
+package request
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"vanillatally/io/callers"
+)
+
+const (
+	// maxKeyedBody bounds the bodies of keyed requests, which are read whole for the claim's fingerprint.
+	maxKeyedBody = 1 << 20
+	// maxBufferedBody is the part of another request's body that is kept; a longer one is passed on as it arrives.
+	maxBufferedBody = 64 << 10
+)
+
+// body is the caller's request body.
+type body struct {
+	// start is the first part. It is the whole body when rest is nil.
+	start []byte
+	rest  *restBody
+	// length is the stated length, -1 when unknown.
+	length int64
+}
+
+// restBody is the unread part of a body.
+type restBody struct {
+	from io.Reader
+	err  error
+	used bool
+}
+
+// Read returns the next part from the caller.
+func (b *restBody) Read(p []byte) (int, error) {
+	b.used = true
+	n, err := b.from.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.err = err
+	}
+	return n, err
+}
+
+// readBody reads the first part of the body, or all of it for a keyed request.
+func (x *exchange) readBody() error {
+	x.body.length = x.r.ContentLength
+	if x.r.Body == nil || x.r.Body == http.NoBody || x.r.ContentLength == 0 {
+		x.body.length = 0
+		return nil
+	}
+	limit := int64(maxBufferedBody)
+	keyed := x.key != "" && !x.idempotent
+	if keyed {
+		limit = maxKeyedBody
+	}
+	// A caller that sends its body slowly must not hold memory beyond its deadline. Some writers have no deadlines.
+	_ = http.NewResponseController(x.w).SetReadDeadline(x.deadline)
+	if x.body.length > limit && keyed {
+		return tooLarge()
+	}
+	var err error
+	if x.body.length >= 0 && x.body.length <= limit {
+		x.body.start = make([]byte, x.body.length)
+		_, err = io.ReadFull(x.r.Body, x.body.start)
+	} else {
+		var buffer bytes.Buffer
+		_, err = io.CopyN(&buffer, x.r.Body, limit)
+		x.body.start = buffer.Bytes()
+		switch {
+		case err == nil && keyed:
+			return tooLarge()
+		case err == nil:
+			x.body.rest = &restBody{from: x.r.Body}
+		case errors.Is(err, io.EOF):
+			x.body.length, err = int64(len(x.body.start)), nil
+		}
+	}
+	if err != nil {
+		return callers.Refuse(http.StatusBadRequest, "body-incomplete", "the request's body could not be read")
+	}
+	return nil
+}
+
+func tooLarge() error {
+	return callers.Refuse(http.StatusRequestEntityTooLarge, "body-too-large", "a request with an Idempotency-Key may have 1 MiB")
+}
+
+// replayable reports whether the whole body can be sent again.
+func (b *body) replayable() bool { return b.rest == nil || !b.rest.used }
+
+// reader returns the body for one attempt.
+func (b *body) reader() io.ReadCloser {
+	switch {
+	case b.rest != nil:
+		return io.NopCloser(io.MultiReader(bytes.NewReader(b.start), b.rest))
+	case len(b.start) == 0:
+		return http.NoBody
+	default:
+		return io.NopCloser(bytes.NewReader(b.start))
+	}
+}
+
+// failed reports whether the caller's body broke off.
+func (b *body) failed() bool { return b.rest != nil && b.rest.err != nil }
+
+// fingerprint identifies the request by team, method, target, and body or idempotency key.
+func (x *exchange) fingerprint(withKey bool) uint64 {
+	var h xxhash.Digest
+	h.Reset()
+	part := func(s string) {
+		// Lengths are not needed between parts, since none of them contains a zero byte.
+		_, _ = h.WriteString(s)
+		_, _ = h.Write([]byte{0})
+	}
+	part(x.team)
+	part(x.r.Method)
+	part(x.r.URL.EscapedPath())
+	part(x.r.URL.RawQuery)
+	if withKey && x.key != "" {
+		part(x.key)
+	} else {
+		_, _ = h.Write(x.body.start)
+	}
+	return h.Sum64()
+}
--- /dev/null
+++ b/host/request/chain.go
@@ -0,0 +1,141 @@
+package request
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"vanillatally/core/claim"
+	"vanillatally/core/config"
+	"vanillatally/io/backends"
+	"vanillatally/io/callers"
+)
+
+// filter is one step of the request path. run calls x.next to pass the request on, and returns its error.
+type filter struct {
+	name string
+	run  func(x *exchange) error
+}
+
+// filters returns the chain in its order.
+func filters() []filter {
+	return []filter{
+		{"identify", identify},
+		{"route", routeRequest},
+		{"deadline", setDeadline},
+		{"quarantine", checkQuarantine},
+		{"admission", admit},
+		{"queue", waitInQueue},
+		{"claim", claimKey},
+		{"choose", choose},
+		{"permit", takePermit},
+		{"forward", forward},
+		{"answer", answer},
+	}
+}
+
+// exchange is one request on its way through the chain. It belongs to the goroutine that serves the request;
+// a hedged attempt works on a copy that shares only what shared points to.
+type exchange struct {
+	service  *Service
+	w        http.ResponseWriter
+	r        *http.Request
+	position int
+	received time.Time
+	// context ends with the caller's connection for idempotent requests only, since the others must not be cut off.
+	context context.Context
+
+	// identify
+	index    *index
+	team     string
+	token    string
+	callerID string
+	// route
+	routeName  string
+	route      config.Route
+	idempotent bool
+	// key is the caller's Idempotency-Key.
+	key string
+	// deadline
+	deadline time.Time
+	// quarantine
+	body  body
+	print uint64
+	// alone is set while the request is suspected of crashing servers, so that it runs alone on a server.
+	alone bool
+	// queue
+	leave  func()
+	queued time.Duration
+	// choose
+	version  string
+	server   *server
+	serverID string
+	tried    []*server
+	pool     *pool
+	// mayHaveRun is set once a byte of the request was sent and no proof came that it did not run.
+	mayHaveRun bool
+	// claim
+	claimed *claim.Request
+	// forward
+	releasePermit func()
+	response      *backends.Response
+	backend       time.Duration
+	hedge         *hedge
+	// answer
+	status int
+}
+
+// hedge decides which of two attempts answers the caller.
+type hedge struct {
+	// answering is 0 until an attempt has a response, then the number of that attempt.
+	answering atomic.Int32
+	attempt   int32
+}
+
+// next runs the following filter.
+func (x *exchange) next() error {
+	position := x.position
+	if position == len(x.service.chain) {
+		return nil
+	}
+	x.position++
+	err := x.service.chain[position].run(x)
+	x.position = position
+	return err
+}
+
+// release gives back what the request holds of this host.
+func (x *exchange) release() {
+	if x.leave != nil {
+		x.leave()
+		x.leave = nil
+	}
+}
+
+// Finished describes one finished request.
+type Finished struct {
+	Team, Route, Service, Version, Server string
+	Status                                int
+	// Reason is the refusal's reason, empty for a response of a backend server.
+	Reason string
+	// Ran is set for refusals and aborted responses.
+	Ran callers.Ran
+	// Aborted reports that the response could not be completed.
+	Aborted bool
+	// Queue, Backend and Own split the request's time.
+	Queue, Backend, Own time.Duration
+}
+
+// Hook receives what metrics and logs need. Its methods return quickly and may be called concurrently.
+type Hook interface {
+	// Finished is called once for each request.
+	Finished(finished Finished)
+	// Event is called for an event, such as a retired connection or a quarantined request, with its subject.
+	Event(name, subject string)
+}
+
+type noHook struct{}
+
+func (noHook) Finished(Finished)    {}
+func (noHook) Event(string, string) {}
--- /dev/null
+++ b/host/request/choose.go
@@ -0,0 +1,196 @@
+package request
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"vanillatally/core/balance"
+	"vanillatally/io/backends"
+	"vanillatally/io/callers"
+)
+
+// maxAttempts bounds the servers that one request is tried on.
+const maxAttempts = 4
+
+// attemptError is the failure of one attempt. choose decides whether another server is tried.
+type attemptError struct {
+	failure *backends.Failure
+	// shed reports that the server stated that it did not process the request.
+	shed  bool
+	pause time.Duration
+}
+
+// Error describes the failure.
+func (e *attemptError) Error() string {
+	if e.shed {
+		return "the server sheds load"
+	}
+	return e.failure.Error()
+}
+
+type randomSource struct{}
+
+func (randomSource) IntN(n int) int   { return rand.IntN(n) }
+func (randomSource) Float64() float64 { return rand.Float64() }
+
+// choose picks a backend server for each attempt, and repeats only what is safe to repeat.
+func choose(x *exchange) error {
+	view := x.service.pools.view(x.index.configuration)
+	in := view.services[x.route.Service]
+	if in == nil || len(in.servers) == 0 {
+		return noServer()
+	}
+	x.pool = in
+	in.retries.request()
+	x.version = x.service.options.Moves.Version(x.route.Service, x.routeName, rand.Float64())
+	if x.version == "" {
+		x.version = x.index.configuration.Services[x.route.Service].Version
+	}
+	for attempt := 1; ; attempt++ {
+		if refusal := x.pick(); refusal != nil {
+			return x.truthful(refusal)
+		}
+		err := x.next()
+		failed, ok := err.(*attemptError)
+		if !ok {
+			return x.truthful(err)
+		}
+		if attempt == maxAttempts || !x.mayRepeat(failed) {
+			return x.truthful(x.refusal(failed))
+		}
+		x.tried = append(x.tried, x.server)
+	}
+}
+
+// truthful corrects a refusal of a later attempt when an earlier one may have run.
+func (x *exchange) truthful(err error) error {
+	if refusal, ok := err.(*callers.Refusal); ok && x.mayHaveRun {
+		return refusal.WithRan(callers.Unknown)
+	}
+	return err
+}
+
+// mayRepeat reports whether the request may be sent to another server after failed.
+func (x *exchange) mayRepeat(failed *attemptError) bool {
+	if !x.body.replayable() || !time.Now().Before(x.deadline) {
+		return false
+	}
+	switch {
+	case failed.shed:
+		// Without a key nothing ties a second arrival at a server to the first, so that it is not tried.
+		return (x.idempotent || x.key != "") && x.pool.retries.retry()
+	case !failed.failure.Sent:
+		// No byte was sent, so that another server gets the request for the first time.
+		return failed.failure.Cause == backends.CauseDial || failed.failure.Cause == backends.CauseConnections
+	}
+	switch failed.failure.Cause {
+	case backends.CauseDeadline, backends.CauseCancelled, backends.CauseBody:
+		return false
+	}
+	return x.idempotent && x.pool.retries.retry()
+}
+
+// refusal is the answer to a request whose last attempt failed.
+func (x *exchange) refusal(failed *attemptError) *callers.Refusal {
+	if failed.shed {
+		return callers.Refuse(http.StatusServiceUnavailable, "shed", "the backend server sheds load").WithRetryAfter(failed.pause)
+	}
+	status := http.StatusBadGateway
+	switch failed.failure.Cause {
+	case backends.CauseDeadline:
+		status = http.StatusGatewayTimeout
+	case backends.CauseCancelled:
+		status = statusClientGone
+	case backends.CauseBody:
+		status = http.StatusBadRequest
+	case backends.CauseDial, backends.CauseConnections:
+		status = http.StatusServiceUnavailable
+	}
+	refusal := callers.Refuse(status, string(failed.failure.Cause), "the backend server gave no whole response")
+	if failed.failure.Sent {
+		refusal.Ran = callers.Unknown
+	}
+	return refusal
+}
+
+func noServer() *callers.Refusal {
+	return callers.Refuse(http.StatusServiceUnavailable, "no-backend-server", "no backend server of the service is available").
+		WithRetryAfter(retryLater)
+}
+
+// pick sets the server of the next attempt.
+func (x *exchange) pick() error {
+	decision, chosen := x.pickFrom(func(s *server) bool { return x.version == "" || s.Version == x.version })
+	if decision.Shedding {
+		return callers.Refuse(http.StatusServiceUnavailable, "shed", "all backend servers shed load").WithRetryAfter(retryLater)
+	}
+	if chosen == nil {
+		return noServer()
+	}
+	chosen = x.moved(chosen)
+	if chosen.Region != x.service.options.Region &&
+		!x.service.options.Link(x.service.options.Region, chosen.Region, float64(len(x.body.start))+typicalBytes) {
+		return callers.Refuse(http.StatusServiceUnavailable, "link-full", "the link to the other region is full").WithRetryAfter(retryLater)
+	}
+	x.server, x.serverID = chosen, chosen.ID
+	return nil
+}
+
+// typicalBytes stands for the headers and the response in the charge for a link.
+const typicalBytes = 2048
+
+// pickFrom chooses among the servers that pass. Larger pools are sampled at a random place.
+func (x *exchange) pickFrom(pass func(s *server) bool) (balance.Decision, *server) {
+	scratch := x.service.scratch.Get().(*balance.Scratch)
+	defer x.service.scratch.Put(scratch)
+	var servers [balance.MaxCandidates]*server
+	now, n := x.service.now(), 0
+	offset := 0
+	if len(x.pool.servers) > balance.MaxCandidates {
+		offset = rand.IntN(len(x.pool.servers))
+	}
+	for i := range x.pool.servers {
+		s := x.pool.servers[(i+offset)%len(x.pool.servers)]
+		if !pass(s) {
+			continue
+		}
+		scratch.Candidates[n] = s.candidate(x.service, now, x.routeName)
+		for _, tried := range x.tried {
+			if tried == s {
+				scratch.Candidates[n].Excluded = true
+			}
+		}
+		servers[n] = s
+		if n++; n == balance.MaxCandidates {
+			break
+		}
+	}
+	decision := balance.Pick(x.service.options.Policy, balance.Request{
+		Now: now, Random: randomSource{}, Turn: x.service.pools.turn.Add(1), Scratch: scratch,
+	}, scratch.Candidates[:n])
+	if decision.Index < 0 {
+		return decision, nil
+	}
+	return decision, servers[decision.Index]
+}
+
+// moved applies the shifts: first to the chosen server's region, then to the server.
+func (x *exchange) moved(chosen *server) *server {
+	moves := x.service.options.Moves
+	if region := moves.Place(x.routeName, x.team, chosen.Region, rand.Float64()); region != chosen.Region {
+		_, other := x.pickFrom(func(s *server) bool {
+			return s.Region == region && (x.version == "" || s.Version == x.version)
+		})
+		if other != nil {
+			chosen = other
+		}
+	}
+	if id := moves.Place(x.routeName, x.team, chosen.ID, rand.Float64()); id != chosen.ID {
+		_, other := x.pickFrom(func(s *server) bool { return s.ID == id })
+		if other != nil {
+			chosen = other
+		}
+	}
+	return chosen
+}
--- /dev/null
+++ b/host/request/forward.go
@@ -0,0 +1,119 @@
+package request
+
+import (
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"vanillatally/core/rollout"
+	"vanillatally/io/backends"
+)
+
+const (
+	// fresh is how lately a connection must have proved that it works to carry a request that cannot be repeated.
+	fresh = time.Second
+	// maxPause bounds what a shedding server can ask for, since its statement may mislead.
+	maxPause = 2 * time.Second
+)
+
+// forward sends the request to the chosen server and takes its response.
+func forward(x *exchange) error {
+	now := time.Now()
+	remaining := x.deadline.Sub(now) - hopMargin
+	if remaining <= 0 {
+		return late()
+	}
+	id := x.service.nextID()
+	attempt := &backends.Request{
+		HTTP: x.outgoing(id, remaining), ID: id, Deadline: x.deadline, SilenceLimit: x.service.options.SilenceLimit,
+	}
+	if x.body.rest != nil {
+		attempt.BodyFailed = x.body.failed
+	}
+	if !x.idempotent {
+		attempt.Fresh = fresh
+	}
+	x.server.inFlight.Add(1)
+	response, failure := x.service.client.Do(x.context, x.server.Address, attempt)
+	x.server.inFlight.Add(-1)
+	latency := time.Since(now)
+	x.backend += latency
+	return x.settle(response, failure, latency)
+}
+
+// settle notes the outcome of an attempt and passes a response on.
+func (x *exchange) settle(response *backends.Response, failure *backends.Failure, latency time.Duration) error {
+	now := x.service.now()
+	if failure != nil {
+		x.mayHaveRun = x.mayHaveRun || failure.Sent
+		x.noteFailure(now, failure, latency)
+		return &attemptError{failure: failure}
+	}
+	x.server.report(now, response.Header)
+	if response.Status == http.StatusServiceUnavailable && response.Header.Get("X-Shed") == "true" {
+		pause := pauseOf(response.Header)
+		// One shed request says little about the next second, so that the server is avoided for a tenth of the time only.
+		x.server.shed(now, pause/10, response.Header.Get("Connection") == "close")
+		x.service.options.Hook.Event("shed", x.server.ID)
+		return &attemptError{shed: true, pause: pause}
+	}
+	x.mayHaveRun = true
+	failed := response.Status >= http.StatusInternalServerError
+	x.server.observe(now, x.pool, x.routeName, failed, latency)
+	x.evidence(failed, latency)
+	x.response = response
+	if response.Rest == nil {
+		x.returnPermit()
+	}
+	return x.next()
+}
+
+// noteFailure adds a failed attempt to the server's health. A silent connection, a caller that went away
+// and a body that broke off say nothing about the server.
+func (x *exchange) noteFailure(now time.Duration, failure *backends.Failure, latency time.Duration) {
+	switch failure.Cause {
+	case backends.CauseCancelled, backends.CauseBody, backends.CauseSilent, backends.CauseConnections:
+		return
+	case backends.CauseDial:
+		x.server.down(now)
+	}
+	x.server.observe(now, x.pool, x.routeName, true, latency)
+	if failure.Sent {
+		x.evidence(true, latency)
+	}
+}
+
+func (x *exchange) evidence(failed bool, latency time.Duration) {
+	x.service.options.Moves.Observe(rollout.Observation{
+		Service: x.route.Service, Version: x.server.Version, Route: x.routeName, Server: x.server.ID, Failed: failed, Latency: latency,
+	})
+}
+
+func pauseOf(header http.Header) time.Duration {
+	seconds, err := strconv.Atoi(header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return time.Second
+	}
+	return min(time.Duration(seconds)*time.Second, maxPause)
+}
+
+// outgoing is the request as the backend server gets it.
+func (x *exchange) outgoing(id string, remaining time.Duration) *http.Request {
+	header := x.r.Header
+	header["X-Request-Id"] = []string{id}
+	header["X-Request-Deadline"] = []string{strconv.FormatInt(max(remaining.Milliseconds(), 1), 10)}
+	if _, ok := header["User-Agent"]; !ok {
+		// An empty entry keeps net/http from adding its own name.
+		header["User-Agent"] = []string{""}
+	}
+	return &http.Request{
+		Method: x.r.Method,
+		URL: &url.URL{
+			Scheme: "http", Host: x.server.Address, Path: x.r.URL.Path, RawPath: x.r.URL.RawPath,
+			RawQuery: x.r.URL.RawQuery, ForceQuery: x.r.URL.ForceQuery,
+		},
+		Host: x.r.Host, Header: header, Body: x.body.reader(), ContentLength: x.body.length,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+}
--- /dev/null
+++ b/host/request/service.go
@@ -0,0 +1,178 @@
+package request
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"vanillatally/core/balance"
+	"vanillatally/core/config"
+	"vanillatally/core/quarantine"
+	"vanillatally/io/backends"
+	"vanillatally/io/callers"
+	"vanillatally/io/platform"
+)
+
+// Options joins the request path with the rest of the host. Nil mechanisms take the local versions of local.go.
+type Options struct {
+	// Host is this host's id; it starts the ids of requests.
+	Host                  string
+	Region, FailureDomain string
+	// Configuration returns the configuration in force, or nil before there is one.
+	Configuration func() *config.Configuration
+	// Fresh reports whether the configuration may be used for requests of team; nil means always.
+	Fresh func(team string) bool
+	// BackendServers returns the known backend servers. The slice is not changed after it was returned.
+	BackendServers func() []platform.BackendServer
+
+	Admitter Admitter
+	Permits  Permits
+	Claims   Claims
+	Moves    Moves
+	// Link charges bytes to the link between two regions and reports whether there is room; nil allows all.
+	Link func(from, to string, bytes float64) bool
+
+	// Notify tells the other hosts about a request that crashes servers; nil tells nobody.
+	Notify func(ctx context.Context, notice quarantine.Notice) error
+	// NoticeHold is the time for which the answer to a request that crashed a server waits after Notify returned,
+	// so that the notice is everywhere before the caller can resend the request to another host.
+	NoticeHold time.Duration
+
+	Hook     Hook
+	Policy   balance.Policy
+	Backends backends.Options
+	// SlowAfter is the time without a response after which an idempotent request is also sent to another server.
+	SlowAfter time.Duration
+	// SilenceLimit is the time without progress after which a connection counts as silent.
+	SilenceLimit time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	if o.Fresh == nil {
+		o.Fresh = func(string) bool { return true }
+	}
+	if o.Admitter == nil {
+		o.Admitter = NewLocalAdmitter(o.Configuration, 1)
+	}
+	if o.Permits == nil {
+		o.Permits = NewLocalPermits(o.BackendServers)
+	}
+	if o.Claims == nil {
+		o.Claims = NewLocalClaims()
+	}
+	if o.Moves == nil {
+		o.Moves = NoMoves{}
+	}
+	if o.Link == nil {
+		o.Link = func(string, string, float64) bool { return true }
+	}
+	if o.Notify == nil {
+		o.Notify = func(context.Context, quarantine.Notice) error { return nil }
+	}
+	if o.Hook == nil {
+		o.Hook = noHook{}
+	}
+	if o.SlowAfter == 0 {
+		o.SlowAfter = time.Second
+	}
+	if o.SilenceLimit == 0 {
+		o.SilenceLimit = 1900 * time.Millisecond
+	}
+	if o.NoticeHold == 0 {
+		o.NoticeHold = 150 * time.Millisecond
+	}
+	return o
+}
+
+// Service serves the requests of callers. Its state is bounded by the configuration and the list of backend servers.
+type Service struct {
+	options  Options
+	chain    []filter
+	client   *backends.Client
+	start    time.Time
+	ids      atomic.Uint64
+	prefix   string
+	index    atomic.Pointer[index]
+	pools    pools
+	queues   queues
+	suspects suspects
+	scratch  sync.Pool
+}
+
+// New returns a service. Run must run beside it.
+func New(options Options) *Service {
+	s := &Service{options: options.withDefaults(), start: time.Now(), chain: filters()}
+	// The random part keeps the ids of a restarted host apart from those of its earlier process.
+	s.prefix = s.options.Host + "-" + strconv.FormatUint(rand.Uint64(), 36) + "-"
+	backend := s.options.Backends
+	counted := backend.OnEvent
+	backend.OnEvent = func(event backends.Event, address string) {
+		if counted != nil {
+			counted(event, address)
+		}
+		s.options.Hook.Event(string(event), address)
+	}
+	s.client = backends.New(backend)
+	s.scratch.New = func() any { return new(balance.Scratch) }
+	s.pools.service = s
+	s.queues.service = s
+	s.suspects.service = s
+	return s
+}
+
+// Run does the background work until ctx ends.
+func (s *Service) Run(ctx context.Context) error { return s.client.Run(ctx) }
+
+// Done is closed when Run has returned.
+func (s *Service) Done() <-chan struct{} { return s.client.Done() }
+
+// now is the time since the process started.
+func (s *Service) now() time.Duration { return time.Since(s.start) }
+
+func (s *Service) nextID() string {
+	var b [64]byte
+	return string(strconv.AppendUint(append(b[:0], s.prefix...), s.ids.Add(1), 36))
+}
+
+// errAborted ends a request whose response has begun and cannot be completed.
+var errAborted = errors.New("the response was aborted")
+
+// ServeHTTP passes one request through the chain of filters.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{service: s, w: w, r: r, received: time.Now(), context: r.Context()}
+	err := x.next()
+	x.release()
+	x.finish(err)
+	if errors.Is(err, errAborted) {
+		// This ends the connection without the end of the response, so that the caller sees an incomplete one.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// finish writes a refusal and reports the request to the hook.
+func (x *exchange) finish(err error) {
+	done := Finished{
+		Team: x.team, Route: x.routeName, Service: x.route.Service, Version: x.version, Server: x.serverID, Status: x.status,
+		Queue: x.queued, Backend: x.backend,
+	}
+	var refusal *callers.Refusal
+	switch {
+	case err == nil:
+	case errors.As(err, &refusal):
+		done.Status, done.Reason, done.Ran = refusal.Status, refusal.Reason, refusal.Ran
+		if x.callerID != "" {
+			x.w.Header().Set("X-Request-Id", x.callerID)
+		}
+		callers.WriteRefusal(x.w, refusal)
+	default:
+		done.Aborted, done.Reason, done.Ran = true, "aborted", callers.Unknown
+	}
+	done.Own = time.Since(x.received) - x.queued - x.backend
+	x.service.options.Hook.Finished(done)
+}
--- /dev/null
+++ b/io/callers/server.go
@@ -0,0 +1,116 @@
+package callers
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// Options sets up a Server. Zero durations and sizes take the defaults of withDefaults.
+type Options struct {
+	// Requests serves everything but look-ups.
+	Requests http.Handler
+	// Lookup serves GET /v1/lookup; nil answers 404.
+	Lookup http.Handler
+	// MaxHeaderBytes bounds the request line and headers of one request.
+	MaxHeaderBytes int
+	// HeaderTimeout bounds the time from the first byte to the end of the headers.
+	HeaderTimeout time.Duration
+	// IdleTimeout bounds the time between two requests on a connection.
+	IdleTimeout time.Duration
+	// DrainNotice is the time during which a stopping server still accepts requests and
+	// asks each caller to close its connection, so that no idle connection is cut under a new request.
+	DrainNotice time.Duration
+	Logger      *slog.Logger
+}
+
+func (o Options) withDefaults() Options {
+	if o.MaxHeaderBytes == 0 {
+		o.MaxHeaderBytes = 32 << 10
+	}
+	if o.HeaderTimeout == 0 {
+		o.HeaderTimeout = 5 * time.Second
+	}
+	if o.IdleTimeout == 0 {
+		o.IdleTimeout = 90 * time.Second
+	}
+	if o.DrainNotice == 0 {
+		o.DrainNotice = time.Second
+	}
+	if o.Lookup == nil {
+		o.Lookup = http.NotFoundHandler()
+	}
+	return o
+}
+
+// Server accepts callers' connections.
+type Server struct {
+	options  Options
+	http     *http.Server
+	draining atomic.Bool
+	group    errgroup.Group
+	done     chan struct{}
+}
+
+// New returns a server that does not listen yet.
+func New(options Options) *Server {
+	s := &Server{options: options.withDefaults(), done: make(chan struct{})}
+	s.http = &http.Server{
+		Handler:           s,
+		MaxHeaderBytes:    s.options.MaxHeaderBytes,
+		ReadHeaderTimeout: s.options.HeaderTimeout,
+		IdleTimeout:       s.options.IdleTimeout,
+	}
+	if s.options.Logger != nil {
+		s.http.ErrorLog = slog.NewLogLogger(s.options.Logger.Handler(), slog.LevelWarn)
+	}
+	return s
+}
+
+// Start serves connections of listener until Shutdown.
+func (s *Server) Start(listener net.Listener) {
+	s.group.Go(func() error {
+		defer close(s.done)
+		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve callers")
+		}
+		return nil
+	})
+}
+
+// ServeHTTP passes look-ups and requests to their handlers.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if r.URL.Path == "/v1/lookup" {
+		s.options.Lookup.ServeHTTP(w, r)
+		return
+	}
+	s.options.Requests.ServeHTTP(w, r)
+}
+
+// Done is closed when the server has stopped listening.
+func (s *Server) Done() <-chan struct{} { return s.done }
+
+// Shutdown announces the stop, stops listening, and waits within ctx until every request in flight has ended.
+func (s *Server) Shutdown(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "shut down the callers' server") }()
+	s.draining.Store(true)
+	notice := time.NewTimer(s.options.DrainNotice)
+	defer notice.Stop()
+	select {
+	case <-notice.C:
+	case <-ctx.Done():
+	}
+	if err := s.http.Shutdown(ctx); err != nil {
+		return err
+	}
+	return s.group.Wait()
+}
