Join the parts into a host that serves requests

Cause: the whole path was not connected. Change: the host process joins membership, configuration, request path, platform list, metrics and the operators' API; it drains on SIGTERM. Rates are still counted per host.

--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,12 @@
+// Command standin stands in for the platform or for a backend server in demonstrations.
+package main
+
+import (
+	"os"
+
+	"vanillatally/standin"
+)
+
+func main() {
+	os.Exit(standin.Main(os.Args[1:]))
+}
--- a/cmd/vanillatally/main.go
+++ b/cmd/vanillatally/main.go
@@ -5,8 +5,9 @@
 	"os"
 
 	"vanillatally/host"
+	"vanillatally/io/terminal"
 )
 
 func main() {
-	os.Exit(host.Main(os.Args[1:]))
+	os.Exit(terminal.Main(os.Args[1:], os.Stdout, os.Stderr, host.Run))
 }
--- /dev/null
+++ b/host/control.go
@@ -0,0 +1,59 @@
+package host
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"vanillatally/core/config"
+	"vanillatally/host/configs"
+	"vanillatally/io/events"
+	"vanillatally/io/operators"
+)
+
+// Ready reports whether the host serves callers. It implements operators.Control, as do the methods below.
+func (h *Host) Ready() bool { return h.configs.Current() != nil && !h.draining.Load() }
+
+// Configuration returns the configuration in force, or nil before there is one.
+func (h *Host) Configuration() *config.Configuration { return h.configs.Current() }
+
+// Validate checks edits against the configuration in force.
+func (h *Host) Validate(edits []config.Edit) error {
+	_, err := h.configs.Validate(h.configs.Sequence(), edits)
+	return err
+}
+
+// Apply writes a change and records what became of it.
+func (h *Host) Apply(ctx context.Context, change operators.ChangeRequest) (operators.ChangeAnswer, error) {
+	outcome, err := h.configs.Apply(ctx, change.Expect, change.Edits)
+	if err != nil {
+		h.log.Decide("configuration", "change", "failed", err.Error())
+		return operators.ChangeAnswer{}, err
+	}
+	h.log.Emit(events.ConfigChanged, "sequence", outcome.Sequence, "outcome", outcome.State, "took", outcome.Took)
+	for _, edit := range change.Edits {
+		h.log.Decide("configuration", edit.Kind+"/"+edit.Name, string(outcome.State), "operator change "+outcome.ChangeID)
+	}
+	if outcome.State == configs.Unknown {
+		return operators.ChangeAnswer{}, errors.New("the store's answer was lost and could not be read back; look at the configuration before another try")
+	}
+	return operators.ChangeAnswer{
+		State: operators.State(outcome.State), Sequence: outcome.Sequence,
+		Unconfirmed: outcome.Waiting, Other: outcome.Other,
+	}, nil
+}
+
+// Decisions returns the newest decisions that match.
+func (h *Host) Decisions(kind, subject string, limit int) []events.Decision {
+	return h.log.Decisions(kind, subject, limit)
+}
+
+// Status returns what the host knows about itself and the fleet.
+func (h *Host) Status() operators.Status {
+	return operators.Status{
+		Host: h.settings.Host, Region: h.settings.Region, FailureDomain: h.settings.FailureDomain,
+		Ready: h.Ready(), Draining: h.draining.Load(),
+		Sequence: h.configs.Sequence(), Fresh: h.configs.Fresh(""),
+		Members: h.members.Members(), BackendServers: len(h.servers.get()),
+	}
+}
--- /dev/null
+++ b/host/host.go
@@ -0,0 +1,236 @@
+package host
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"vanillatally/core/membership"
+	"vanillatally/host/configs"
+	"vanillatally/host/members"
+	"vanillatally/host/request"
+	"vanillatally/io/callers"
+	"vanillatally/io/events"
+	"vanillatally/io/operators"
+	"vanillatally/io/peers"
+	"vanillatally/io/platform"
+	"vanillatally/io/scrapers"
+	"vanillatally/io/settings"
+	"vanillatally/io/store"
+)
+
+// readyPoll is how often readiness is looked at until it is reached.
+const readyPoll = 50 * time.Millisecond
+
+// Host is one process of the system. Each part is owned by Run, which ends them in the reverse order of need.
+type Host struct {
+	settings settings.Settings
+	log      *events.Log
+	start    time.Time
+	metrics  *scrapers.Metrics
+	hook     *hook
+
+	node     *peers.Node
+	members  *members.Service
+	configs  *configs.Service
+	servers  *servers
+	requests *request.Service
+	callers  *callers.Server
+
+	draining atomic.Bool
+	done     chan struct{}
+}
+
+// New joins the parts of a host. Nothing listens before Run.
+func New(s settings.Settings, log *events.Log) (h *Host, err error) {
+	defer func() { err = errors.Wrap(err, "set up host") }()
+	h = &Host{settings: s, log: log, start: time.Now(), metrics: scrapers.New(), done: make(chan struct{})}
+	h.hook = &hook{metrics: h.metrics, log: log}
+	objects, err := store.Open(s.StoreEndpoint)
+	if err != nil {
+		return nil, err
+	}
+	list, err := platform.Open(s.PlatformEndpoint)
+	if err != nil {
+		return nil, err
+	}
+	table := peers.NewTable()
+	h.node = peers.New(peers.Options{
+		Host: s.Host, Secret: []byte(s.PeerSecret), Table: table,
+		Address: func(host string) (string, bool) { return h.address(host) },
+	})
+	h.servers = newServers(list, log)
+	h.members = h.newMembers(table, list)
+	h.configs = configs.New(configs.Options{
+		Host: s.Host, Region: s.Region, Store: objects, Peers: h.node, Table: table, Members: h.members,
+		Log: log.Logger(), Seed: uint64(h.start.UnixNano()),
+	})
+	h.requests = h.newRequests()
+	h.callers = callers.New(callers.Options{
+		Requests: h.requests, Lookup: http.NotFoundHandler(),
+		DrainNotice: h.drainNotice(), Logger: log.Logger(),
+	})
+	h.registerGauges()
+	return h, nil
+}
+
+func (h *Host) now() time.Duration { return time.Since(h.start) }
+
+// address finds a peer through the membership, else through the seeds of the settings.
+func (h *Host) address(host string) (string, bool) {
+	if address, ok := h.members.Address(host); ok {
+		return address, true
+	}
+	address, ok := h.settings.Seeds[host]
+	return address, ok
+}
+
+func (h *Host) newMembers(table *peers.Table, list platform.List) *members.Service {
+	s := h.settings
+	seeds := make([]string, 0, len(s.Seeds))
+	for _, address := range s.Seeds {
+		seeds = append(seeds, address)
+	}
+	return members.New(members.Options{
+		Self: membership.Member{
+			Host: s.Host, Region: s.Region, FailureDomain: s.FailureDomain,
+			PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress,
+		},
+		Seeds: seeds, Caller: h.node, Peers: table, List: list, Now: h.now,
+		Digest:   func() membership.Digest { return membership.Digest{Sequence: h.configs.Sequence()} },
+		OnBehind: func(host string, shown membership.Digest) { h.configs.Notice(host, shown.Sequence) },
+		OnChange: h.onMembers, Logger: h.log.Logger(),
+	})
+}
+
+func (h *Host) onMembers(changed []membership.Member) {
+	for _, m := range changed {
+		h.log.Emit(events.MemberChanged, "member", m.Host, "state", m.State, "incarnation", m.Incarnation)
+	}
+}
+
+func (h *Host) newRequests() *request.Service {
+	return request.New(request.Options{
+		Host: h.settings.Host, Region: h.settings.Region, FailureDomain: h.settings.FailureDomain,
+		Configuration: h.configs.Current, Fresh: h.configs.Fresh, BackendServers: h.servers.get,
+		Hook: h.hook,
+	})
+}
+
+// drainNotice is as long as callers may keep a look-up answer that names this host.
+func (h *Host) drainNotice() time.Duration {
+	return time.Duration(h.settings.Limits.LookupTTL) * 6 / 5
+}
+
+func (h *Host) registerGauges() {
+	h.metrics.Gauge("configuration-sequence", func() float64 { return float64(h.configs.Sequence()) })
+	h.metrics.Gauge("peer-bytes-in", func() float64 { return float64(h.node.Stats().BytesIn.Load()) })
+	h.metrics.Gauge("peer-bytes-out", func() float64 { return float64(h.node.Stats().BytesOut.Load()) })
+	h.metrics.Gauge("peer-unknown-kinds", func() float64 { return float64(h.node.Stats().UnknownKinds.Load()) })
+	h.metrics.Gauge("peer-rejected", func() float64 { return float64(h.node.Stats().Rejected.Load()) })
+}
+
+// Run listens and serves until ctx ends, then drains: look-ups stop naming the host, requests in flight finish.
+func (h *Host) Run(ctx context.Context) (err error) {
+	defer close(h.done)
+	defer func() { err = errors.Wrapf(err, "run host %s", h.settings.Host) }()
+	h.log.Emit(events.HostStarting, "region", h.settings.Region, "failure-domain", h.settings.FailureDomain)
+	listeners, err := listen(h.settings.PeerAddress, h.settings.OperatorAddress, h.settings.CallerAddress)
+	if err != nil {
+		return err
+	}
+	// The parts outlive ctx: they are needed until the last request in flight has finished.
+	parts, stopParts := context.WithCancel(context.Background())
+	defer stopParts()
+	group, parts := errgroup.WithContext(parts)
+	peerServer := &http.Server{Handler: h.node, ReadHeaderTimeout: time.Second}
+	operatorServer := &http.Server{
+		Handler:           operators.NewServer(h, h.settings.OperatorCredential, h.metrics),
+		ReadHeaderTimeout: time.Second,
+	}
+	for i, server := range []*http.Server{peerServer, operatorServer} {
+		group.Go(func() error { return serve(server, listeners[i]) })
+	}
+	for _, run := range []func(context.Context) error{h.servers.run, h.members.Run, h.configs.Run, h.requests.Run} {
+		group.Go(func() error { return run(parts) })
+	}
+	h.callers.Start(listeners[2])
+	group.Go(func() error { return h.announceReady(parts) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			err := h.drain()
+			stopParts()
+			return errors.CombineErrors(err, h.closeServers(peerServer, operatorServer))
+		case <-parts.Done():
+			return h.closeServers(peerServer, operatorServer)
+		}
+	})
+	err = group.Wait()
+	h.node.Close()
+	h.log.Emit(events.HostStopped, "error", err)
+	return err
+}
+
+// drain keeps serving until callers have dropped look-up answers that name this host, then waits for the
+// requests in flight.
+func (h *Host) drain() error {
+	h.draining.Store(true)
+	h.log.Emit(events.HostDraining)
+	limit := h.drainNotice() + time.Duration(h.settings.Limits.DrainTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	err := h.members.Leave(ctx)
+	if shutdown := h.callers.Shutdown(ctx); shutdown != nil {
+		h.log.Emit(events.DrainTimedOut, "error", shutdown)
+	}
+	return err
+}
+
+func (h *Host) closeServers(servers ...*http.Server) (err error) {
+	for _, server := range servers {
+		err = errors.CombineErrors(err, server.Close())
+	}
+	return err
+}
+
+// announceReady logs the moment from which callers are served.
+func (h *Host) announceReady(ctx context.Context) error {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for !h.Ready() {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+	h.log.Emit(events.HostReady, "sequence", h.configs.Sequence())
+	return nil
+}
+
+func listen(addresses ...string) (listeners []net.Listener, err error) {
+	for _, address := range addresses {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, opened := range listeners {
+				_ = opened.Close()
+			}
+			return nil, err
+		}
+		listeners = append(listeners, listener)
+	}
+	return listeners, nil
+}
+
+func serve(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/host/run.go
@@ -0,0 +1,50 @@
+// Package host joins the decision logic under core and the adapters under io into one process.
+package host
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"vanillatally/io/events"
+	"vanillatally/io/settings"
+)
+
+// The exit codes of the host command.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// Run runs a host with the settings in file until SIGTERM or SIGINT and returns the exit code.
+// Wrong settings end it before it listens.
+func Run(file string) int {
+	read, err := settings.Read(file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	log := events.NewLog(os.Stderr, logLevel(read.LogLevel), read.Host)
+	h, err := New(read, log)
+	if err == nil {
+		err = h.Run(ctx)
+	}
+	if err != nil {
+		log.Emit(events.PartFailed, "error", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func logLevel(name string) slog.Level {
+	var level slog.Level
+	// The settings accept only names that slog knows.
+	_ = level.UnmarshalText([]byte(name))
+	return level
+}
--- a/io/events/log.go
+++ b/io/events/log.go
@@ -38,6 +38,9 @@
 	return &Log{logger: slog.New(handler).With("host", host)}
 }
 
+// Logger returns the logger for parts that log without a numbered event.
+func (l *Log) Logger() *slog.Logger { return l.logger }
+
 // Emit writes one event with attributes as alternating keys and values.
 func (l *Log) Emit(event Event, attributes ...any) {
 	if !l.logger.Enabled(context.Background(), event.Level) {
