--- /dev/null
+++ b/host/configs/fleet_test.go
@@ -0,0 +1,267 @@
+package configs_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sync/errgroup"
+
+	"vanillatally/core/config"
+	"vanillatally/core/membership"
+	"vanillatally/host/configs"
+	"vanillatally/io/peers"
+	"vanillatally/io/store"
+)
+
+// fleet is hosts in one process with an in-memory store and network.
+type fleet struct {
+	t       testing.TB
+	store   *store.Memory
+	network *peers.Network
+	group   errgroup.Group
+	ctx     context.Context
+	stop    context.CancelFunc
+	hosts   []*host
+	// lowered counts sequences that went down at a host; it has to stay 0.
+	lowered atomic.Int64
+
+	mu sync.Mutex
+	// dead holds (observer, host) pairs.
+	dead map[[2]string]bool
+	// rings holds each host's neighbours; it is computed again when a host is added.
+	rings map[string][]string
+}
+
+type host struct {
+	*configs.Service
+	fleet  *fleet
+	id     string
+	region string
+	caller peers.Caller
+	table  *peers.Table
+	stop   context.CancelFunc
+	// mute drops this host's own broadcasts.
+	mute atomic.Bool
+
+	mu   sync.Mutex
+	seen map[string]bool
+	sent int
+	// inForce is the time at which each sequence came into force.
+	inForce map[uint64]time.Time
+	last    uint64
+}
+
+func newFleet(t testing.TB, hosts, regions int) *fleet {
+	f := &fleet{t: t, store: store.NewMemory(0, 0), network: peers.NewNetwork(), dead: map[[2]string]bool{}}
+	f.ctx, f.stop = context.WithCancel(context.Background())
+	for i := range hosts {
+		f.hosts = append(f.hosts, f.newHost(fmt.Sprintf("host-%03d", i), fmt.Sprintf("region-%d", i%regions), f.store))
+	}
+	for _, h := range f.hosts {
+		h.run()
+	}
+	return f
+}
+
+func (f *fleet) newHost(id, region string, objects store.Store) *host {
+	h := &host{fleet: f, id: id, region: region, table: peers.NewTable(), seen: map[string]bool{}, inForce: map[uint64]time.Time{}}
+	peers.Handle(h.table, "flood", func(ctx context.Context, from string, m flooded) (struct{}, error) {
+		h.flood(ctx, from, m)
+		return struct{}{}, nil
+	})
+	h.caller = f.network.Join(id, h.table)
+	h.Service = configs.New(configs.Options{Host: id, Region: region, Store: objects, Peers: h.caller, Table: h.table, Members: h, Seed: xxhash.Sum64String(id)})
+	h.Subscribe(func(c *config.Configuration) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if c.Sequence <= h.last {
+			f.lowered.Add(1)
+		}
+		h.last, h.inForce[c.Sequence] = c.Sequence, time.Now()
+	})
+	return h
+}
+
+// add puts a host into the fleet, in place of one with the same id.
+func (f *fleet) add(added *host) *host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, h := range f.hosts {
+		if h.id == added.id {
+			f.hosts[i] = added
+			return added
+		}
+	}
+	f.hosts, f.rings = append(f.hosts, added), nil
+	return added
+}
+
+func (h *host) run() {
+	var ctx context.Context
+	ctx, h.stop = context.WithCancel(h.fleet.ctx)
+	h.fleet.group.Go(func() error { return h.Run(ctx) })
+}
+
+func (f *fleet) close() {
+	f.stop()
+	if err := f.group.Wait(); err != nil {
+		f.t.Error(err)
+	}
+	if n := f.lowered.Load(); n != 0 {
+		f.t.Errorf("%d sequences went down", n)
+	}
+}
+
+// cut separates hosts from all others in both directions; the others' membership learns of it.
+func (f *fleet) cut(lost bool, ids ...string) {
+	inside := map[string]bool{}
+	for _, id := range ids {
+		inside[id] = true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, a := range f.hosts {
+		for _, b := range f.hosts {
+			if inside[a.id] != inside[b.id] {
+				f.network.Cut(a.id, b.id, lost)
+			}
+		}
+	}
+}
+
+func (f *fleet) setDead(observer, id string, dead bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dead[[2]string{observer, id}] = dead
+}
+
+// flooded is a broadcast over three rings: each host passes it to its neighbours once.
+type flooded struct {
+	ID   string `cbor:"i"`
+	Kind string `cbor:"k"`
+	Body []byte `cbor:"b"`
+}
+
+func (h *host) Members() (members []membership.Member) {
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	for _, other := range h.fleet.hosts {
+		m := membership.Member{Host: other.id, Region: other.region, State: membership.Alive}
+		if h.fleet.dead[[2]string{h.id, other.id}] {
+			m.State = membership.Dead
+		}
+		members = append(members, m)
+	}
+	return members
+}
+
+func (h *host) Broadcast(ctx context.Context, kind string, body []byte) error {
+	if h.mute.Load() {
+		return nil
+	}
+	h.mu.Lock()
+	h.sent++
+	m := flooded{ID: fmt.Sprintf("%s/%d", h.id, h.sent), Kind: kind, Body: body}
+	h.seen[m.ID] = true
+	h.mu.Unlock()
+	h.forward(ctx, "", m)
+	return nil
+}
+
+func (h *host) flood(ctx context.Context, from string, m flooded) {
+	h.mu.Lock()
+	again := h.seen[m.ID]
+	h.seen[m.ID] = true
+	h.mu.Unlock()
+	if again {
+		return
+	}
+	if handler, ok := h.table.Lookup(m.Kind); ok {
+		if _, err := handler(ctx, from, m.Body); err != nil {
+			h.fleet.t.Error(err)
+		}
+	}
+	h.forward(ctx, from, m)
+}
+
+func (h *host) forward(_ context.Context, from string, m flooded) {
+	body, err := cbor.Marshal(m)
+	if err != nil {
+		h.fleet.t.Error(err)
+	}
+	for _, to := range h.fleet.neighbours(h.id) {
+		if to != from {
+			h.fleet.group.Go(func() error {
+				_ = h.caller.Send(h.fleet.ctx, to, "flood", body) // a lost message is one of the faults
+				return nil
+			})
+		}
+	}
+}
+
+// neighbours returns the successors and predecessors on three rings.
+func (f *fleet) neighbours(id string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.rings[id] != nil {
+		return f.rings[id]
+	}
+	f.rings = map[string][]string{}
+	for ring := range 3 {
+		order := append([]*host(nil), f.hosts...)
+		position := func(h *host) uint64 { return xxhash.Sum64String(h.id + string(rune('0'+ring))) }
+		sort.Slice(order, func(i, j int) bool { return position(order[i]) < position(order[j]) })
+		for i, h := range order {
+			for _, n := range []*host{order[(i+1)%len(order)], order[(i+len(order)-1)%len(order)]} {
+				if n != h && !slices.Contains(f.rings[h.id], n.id) {
+					f.rings[h.id] = append(f.rings[h.id], n.id)
+				}
+			}
+		}
+	}
+	return f.rings[id]
+}
+
+// until fails when a condition does not hold within d of the fake clock.
+func (f *fleet) until(d time.Duration, what string, holds func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(d); !holds(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			f.t.Fatalf("not within %v: %s", d, what)
+		}
+	}
+}
+
+func (f *fleet) allAt(sequence uint64) func() bool {
+	return func() bool {
+		for _, h := range f.hosts {
+			if h.Sequence() < sequence {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// template returns an edit that gives a template a rate.
+func template(rate int) []config.Edit {
+	return []config.Edit{{Kind: "templates", Name: "standard", Document: fmt.Appendf(nil, `{"rate":%d,"burst":1}`, rate)}}
+}
+
+// apply fails unless the change is accepted.
+func (f *fleet) apply(h *host, edits []config.Edit) configs.Outcome {
+	f.t.Helper()
+	out, err := h.Apply(f.ctx, h.Sequence(), edits)
+	if err != nil || out.State != configs.Accepted {
+		f.t.Fatalf("outcome %+v, error %v, want accepted", out, err)
+	}
+	return out
+}
