--- a/host/hook.go
+++ b/host/hook.go
@@ -18,8 +18,7 @@
 
 // serverEvents maps the request path's event names to log events; others are only counted.
 var serverEvents = map[string]events.Event{
-	"quarantined": events.RequestQuarantined,
-	"ejected":     events.ServerEjected,
+	"request-quarantined": events.RequestQuarantined,
 }
 
 // Finished implements request.Hook.
--- a/host/host.go
+++ b/host/host.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
 	"golang.org/x/sync/errgroup"
 
 	"vanillatally/core/membership"
+	"vanillatally/core/quarantine"
 	"vanillatally/host/configs"
 	"vanillatally/host/members"
 	"vanillatally/host/request"
@@ -70,9 +72,9 @@
 		Host: s.Host, Region: s.Region, Store: objects, Peers: h.node, Table: table, Members: h.members,
 		Log: log.Logger(), Seed: uint64(h.start.UnixNano()),
 	})
-	h.requests = h.newRequests()
+	h.requests = h.newRequests(table)
 	h.callers = callers.New(callers.Options{
-		Requests: h.requests, Lookup: http.NotFoundHandler(),
+		Requests: h.requests, Lookup: http.HandlerFunc(h.lookup),
 		DrainNotice: h.drainNotice(), Logger: log.Logger(),
 	})
 	h.registerGauges()
@@ -114,12 +116,29 @@
 	}
 }
 
-func (h *Host) newRequests() *request.Service {
-	return request.New(request.Options{
+func (h *Host) newRequests(table *peers.Table) *request.Service {
+	requests := request.New(request.Options{
 		Host: h.settings.Host, Region: h.settings.Region, FailureDomain: h.settings.FailureDomain,
 		Configuration: h.configs.Current, Fresh: h.configs.Fresh, BackendServers: h.servers.get,
-		Hook: h.hook,
+		Notify: h.notifyQuarantine, Hook: h.hook,
 	})
+	peers.Handle(table, quarantineKind, func(_ context.Context, _ string, notice quarantine.Notice) (struct{}, error) {
+		requests.HandleNotice(notice)
+		return struct{}{}, nil
+	})
+	return requests
+}
+
+// quarantineKind is the kind of the messages that tell of a request that crashes backend servers.
+const quarantineKind = "quarantine-notice"
+
+func (h *Host) notifyQuarantine(ctx context.Context, notice quarantine.Notice) (err error) {
+	defer func() { err = errors.Wrap(err, "tell the other hosts of a crashing request") }()
+	body, err := cbor.Marshal(notice)
+	if err != nil {
+		return err
+	}
+	return h.members.Broadcast(ctx, quarantineKind, body)
 }
 
 // drainNotice is as long as callers may keep a look-up answer that names this host.
