Count a host as ready only when its configuration is known to be fresh

Hosts that had a configuration but no proof of its freshness yet refused keyed requests with a wait of 1 s, and the caller waited although other hosts could serve. Silent connections and SYN retransmission were considered; the stall shows only after the start. Change: readiness includes freshness; the caller's client tries the next host at once.

--- a/host/control.go
+++ b/host/control.go
@@ -12,7 +12,7 @@
 )
 
 // Ready reports whether the host serves callers. It implements operators.Control, as do the methods below.
-func (h *Host) Ready() bool { return h.configs.Current() != nil && !h.draining.Load() }
+func (h *Host) Ready() bool { return h.configs.Fresh("") && !h.draining.Load() }
 
 // Configuration returns the configuration in force, or nil before there is one.
 func (h *Host) Configuration() *config.Configuration { return h.configs.Current() }
--- a/io/hosts/client.go
+++ b/io/hosts/client.go
@@ -187,6 +187,10 @@
 		if err != nil {
 			c.forget(r.Route)
 		}
+		// A refusal that concerns one host needs no wait before the next host is tried.
+		if err == nil && attempt+1 < len(answer.Hosts) {
+			continue
+		}
 		timer := time.NewTimer(max(delay, response.retryAfter()))
 		select {
 		case <-timer.C:
