Add ledger transitions, witness leases and lent token buckets

Rates and bursts are counted over all hosts together, so slots need one user at a time and tokens must never be created by a transfer.

core/ledger computes each change of the ledger as a new value: join and replacement of an ended incarnation, adoption of first witnesses, fencing by the votes of all witnesses, leaving, region dead, forget. Each slot lists the earlier holders that may still use it (Unreleased), so a chain of changes before the first release stays safe. A member without witnesses is given some only by its own write, because it holds its lease always until it knows of them. core/lease holds both sides of the witness lease; a promise to fence ends with the epoch that it was given for. core/budget holds the bucket of a host's shares, loans with settlement by id, hand-over of shares, and the equal static division as the baseline.

One run found an invalid ledger when the last staying member was fenced (an Unreleased entry named the slot's own holder); fixed in assignSlots.

--- /dev/null
+++ b/core/budget/budget_test.go
@@ -0,0 +1,112 @@
+package budget
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"math/bits"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Seeds are fixed; -rapid.seed on the command line takes another.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+// Guards against a share count or a share's slot that differs from the design.
+func TestLimitsShares(t *testing.T) {
+	for _, c := range []struct {
+		burst float64
+		want  int
+	}{{0.5, 1}, {1, 1}, {3, 3}, {3.9, 3}, {64, 64}, {1e9, 64}} {
+		l := Limits{Rate: 2, Burst: c.burst}
+		if got := l.Shares(); got != c.want || bits.OnesCount64(l.Slots("team")) != got {
+			t.Errorf("burst %v: %d shares in slots %x, want %d", c.burst, got, l.Slots("team"), c.want)
+		}
+	}
+	for _, bad := range []Limits{{0, 1}, {1, 0}, {math.NaN(), 1}, {1, math.Inf(1)}} {
+		if _, err := NewTable(map[string]Limits{"t": bad}); err == nil {
+			t.Errorf("limits %+v accepted", bad)
+		}
+	}
+}
+
+// Guards against any sequence of operations that creates tokens: what two holders have, have lent and have
+// taken never exceeds burst + rate × t.
+func TestBucketsNeverCreateTokens(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := Limits{rapid.Float64Range(0.5, 1e6).Draw(t, "rate"), rapid.Float64Range(2, 1e6).Draw(t, "burst")}
+		n := l.Shares()
+		a, b := l.Bucket(n, ClockFactor, 0), l.Bucket(0, ClockFactor, 0)
+		var book Book
+		now, taken, granted := time.Duration(0), 0.0, map[uint64]float64{}
+		for id := range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now += time.Duration(rapid.Int64Range(0, 1e9).Draw(t, "pause"))
+			amount := rapid.Float64Range(0, l.Burst).Draw(t, "amount")
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				var ok bool
+				if a, ok = a.Take(now, amount); ok {
+					taken += amount
+				}
+			case 1:
+				var g Grant
+				book, a, g = book.Lend(now, a, "x", Request{"t", uint64(id), amount, 1}, 0, LoanLife)
+				granted[uint64(id)] = g.Amount
+				book, a, _ = book.Lend(now, a, "x", Request{"t", uint64(id), amount, 1}, 0, LoanLife)
+			case 2:
+				loan := granted[uint64(id/2)]
+				spent := rapid.Float64Range(0, 1).Draw(t, "spent") * loan
+				s := Settlement{"t", uint64(id / 2), spent, loan - spent}
+				if book.Knows("x", s.ID) {
+					taken += spent
+				}
+				book, a = book.Settle(now, a, "x", s)
+				book, a = book.Settle(now, a, "x", s)
+			case 3:
+				if shares := int(math.Round(a.Cap / l.Burst * float64(n))); shares > 1 {
+					var c Carry
+					a, c = a.Split(now, 1, shares)
+					book = book.Scaled(1 - 1/float64(shares))
+					b = b.Merged(now, l.Bucket(1, ClockFactor, now), c)
+				}
+			case 4:
+				book, a = book.Expire(now, a)
+			case 5:
+				a = a.Corrected(now, amount)
+			}
+			for _, x := range []Bucket{a, b} {
+				if x.Level+x.Outstanding > x.Cap*(1+1e-9) {
+					t.Fatalf("level %v and outstanding %v exceed the cap %v", x.Level, x.Outstanding, x.Cap)
+				}
+			}
+			if a.Cap+b.Cap > l.Burst*(1+1e-9) || (a.Rate+b.Rate)*ClockFactor > l.Rate*(1+1e-9) {
+				t.Fatalf("caps %v + %v or rates %v + %v exceed the limits", a.Cap, b.Cap, a.Rate, b.Rate)
+			}
+			if limit := l.Rate * now.Seconds(); taken > limit*(1+1e-9) {
+				t.Fatalf("taken %v in %v, the buckets started empty", taken, now)
+			}
+		}
+	})
+}
+
+// Guards against a loan that its borrower may use after the lender has freed it, or after the lender's lease.
+func TestLoanEndsFirstAtTheBorrower(t *testing.T) {
+	for _, c := range []struct {
+		life time.Duration
+		want time.Duration
+	}{{time.Hour, BorrowLife}, {500 * time.Millisecond, 490 * time.Millisecond}, {0, 0}} {
+		t.Run(fmt.Sprint(c.life), func(t *testing.T) {
+			b := Bucket{Level: 5, Cap: 10}
+			_, b, g := Book{}.Lend(0, b, "x", Request{"t", 1, 3, 1}, 0, c.life)
+			if g.Life != c.want || b.Level+g.Amount != 5 {
+				t.Fatalf("grant %+v of a bucket that keeps %v, want life %v", g, b.Level, c.want)
+			}
+			l := Accept("y", time.Second, g)
+			if c.want > 0 && (l.Usable(time.Second+c.want-1) != 3 || l.Usable(time.Second+c.want) != 0) {
+				t.Fatalf("loan %+v does not end %v after the request", l, c.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/lease/lease_test.go
@@ -0,0 +1,106 @@
+package lease
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"vanillatally/core/ledger"
+)
+
+// Seeds are fixed; -rapid.seed on the command line takes another.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+// pair returns a ledger with two hosts that witness each other, and the owners.
+func pair(t *testing.T) (l ledger.Ledger, a, b ledger.Owner) {
+	l, _ = ledger.Create(ledger.Member{Host: "a"})
+	l, _ = l.Join(ledger.Member{Host: "b"})
+	l, err := l.Adopt(ledger.Owner{Host: "a", Incarnation: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l, ledger.Owner{Host: "a", Incarnation: 1}, ledger.Owner{Host: "b", Incarnation: 2}
+}
+
+// Guards against a vote to fence while the holder, with a clock up to 1% apart from true time, still holds its lease.
+func TestWitnessVotesOnlyAfterTheHoldersEnd(t *testing.T) {
+	l, _, b := pair(t)
+	terms := Default()
+	rapid.Check(t, func(t *rapid.T) {
+		skew := rapid.Float64Range(0.99, 1.01)
+		holderClock, witnessClock := skew.Draw(t, "holder"), skew.Draw(t, "witness")
+		sent := time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "sent"))
+		arrived := sent + time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "delay"))
+		local := func(at time.Duration, clock float64) time.Duration { return time.Duration(float64(at) * clock) }
+		h := Started(terms, b.Incarnation, -terms.Holder).Renewed(terms, b.Incarnation, local(sent, holderClock), local(arrived, holderClock))
+		w, answer := Witness{}.Learned(0, "a", l).Renew(local(arrived, witnessClock), b, true)
+		at := sent + time.Duration(rapid.Int64Range(0, int64(2*time.Second)).Draw(t, "at"))
+		if _, voted := w.Promise(terms, local(at, witnessClock), b, l.Epoch); voted && h.Valid(local(at, holderClock)) {
+			t.Fatalf("voted %v after the request while the lease holds, answer %s", at-sent, answer)
+		}
+	})
+}
+
+// Guards against each way in which a witness must refuse, and against promises that bind for ever.
+func TestWitnessAnswers(t *testing.T) {
+	l, _, b := pair(t)
+	terms := Default()
+	w := Witness{}.Learned(0, "a", l)
+	late := terms.Witness + time.Second
+	promised, ok := w.Promise(terms, late, b, l.Epoch)
+	if !ok {
+		t.Fatal("no vote after a long silence")
+	}
+	if _, ok := w.Promise(terms, late, b, l.Epoch+1); ok {
+		t.Error("voted at an epoch that the witness does not know")
+	}
+	next, _ := l.Join(ledger.Member{Host: "c"})
+	restarted, _ := l.Join(ledger.Member{Host: "b"})
+	for _, c := range []struct {
+		name  string
+		w     Witness
+		owner ledger.Owner
+		own   bool
+		want  Answer
+	}{
+		{"witness renews", w, b, true, Granted},
+		{"own lease lapsed", w, b, false, Lapsed},
+		{"after a promise", promised, b, true, Promised},
+		{"promise ends with the epoch", promised.Learned(late, "a", next), b, true, Granted},
+		{"ended incarnation", w.Learned(late, "a", restarted), b, true, NotWitness},
+		{"not its witness", w, ledger.Owner{Host: "c", Incarnation: 3}, true, NotWitness},
+	} {
+		if _, got := c.w.Renew(late, c.owner, c.own); got != c.want {
+			t.Errorf("%s: %s, want %s", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against a lease from answers to an earlier process, and against a lone host that keeps its lease for ever
+// after it asked for witnesses.
+func TestHolder(t *testing.T) {
+	terms := Default()
+	h := Started(terms, 7, 0)
+	for _, c := range []struct {
+		name string
+		h    Holder
+		at   time.Duration
+		want bool
+	}{
+		{"zero value", Holder{}, 0, false},
+		{"fresh entry", h, terms.Holder - 1, true},
+		{"fresh entry ends", h, terms.Holder, false},
+		{"renewed", h.Renewed(terms, 7, time.Second, time.Second), terms.Holder + 999*time.Millisecond, true},
+		{"other incarnation", h.Renewed(terms, 6, time.Second, time.Second), terms.Holder, false},
+		{"answer from the future", h.Renewed(terms, 7, time.Minute, time.Second), terms.Holder, false},
+		{"alone", h.WithWitnesses(0), time.Hour, true},
+		{"alone outside the ledger", Holder{}.WithWitnesses(0), 0, false},
+		{"adopting", h.WithWitnesses(0).Adopting(terms, time.Hour), time.Hour + terms.Holder, false},
+	} {
+		if got := c.h.Valid(c.at); got != c.want {
+			t.Errorf("%s: valid %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/core/lease/witness.go
@@ -0,0 +1,115 @@
+package lease
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"vanillatally/core/ledger"
+)
+
+// Answer is a witness's answer to a renewal request.
+type Answer string
+
+// The answers to a renewal request.
+const (
+	// Granted renews the lease from the sending of the request.
+	Granted Answer = "granted"
+	// NotWitness: this host is not a witness of that incarnation by the ledger that it knows.
+	NotWitness Answer = "not-witness"
+	// Promised: the witness has voted to fence the member.
+	Promised Answer = "promised"
+	// Lapsed: the witness's own lease does not hold.
+	Lapsed Answer = "lapsed"
+)
+
+// record is what a witness knows about a member that it witnesses.
+type record struct {
+	incarnation uint64
+	// last is the time of the last renewal, or of the moment when the witness learned of its duty.
+	last time.Duration
+	// promised is the epoch at which the witness voted to fence the member, or 0.
+	promised uint64
+}
+
+// Witness is the witness's side of the leases that a host witnesses, one record for each member
+// that names it in the ledger. It is immutable. A restarted witness starts without records and waits
+// Terms.Witness before its first vote, because it does not know its earlier renewals.
+type Witness struct {
+	epoch   uint64
+	records map[string]record
+}
+
+// Learned returns the witness's state after it learned of a ledger. A promise ends when a later epoch still
+// names the member: the conditional write that the promise was made for can no longer succeed.
+func (w Witness) Learned(now time.Duration, self string, l ledger.Ledger) Witness {
+	records := map[string]record{}
+	for _, m := range l.Members {
+		if !slices.Contains(m.Witnesses, self) {
+			continue
+		}
+		r, ok := w.records[m.Host]
+		if !ok || r.incarnation != m.Incarnation {
+			r = record{incarnation: m.Incarnation, last: now}
+		}
+		if r.promised < l.Epoch {
+			r.promised = 0
+		}
+		records[m.Host] = r
+	}
+	return Witness{l.Epoch, records}
+}
+
+// Renew decides about a renewal request. ownLease is whether the witness's own lease holds: a witness that
+// was itself fenced without knowing must not keep others alive.
+func (w Witness) Renew(now time.Duration, o ledger.Owner, ownLease bool) (Witness, Answer) {
+	r, ok := w.records[o.Host]
+	switch {
+	case !ok || r.incarnation != o.Incarnation:
+		return w, NotWitness
+	case r.promised != 0:
+		return w, Promised
+	case !ownLease:
+		return w, Lapsed
+	}
+	r.last = now
+	return w.with(o.Host, r), Granted
+}
+
+func (w Witness) with(host string, r record) Witness {
+	records := maps.Clone(w.records)
+	records[host] = r
+	return Witness{w.epoch, records}
+}
+
+// Silent reports whether the witness may vote to fence the member at the epoch.
+func (w Witness) Silent(t Terms, now time.Duration, o ledger.Owner, epoch uint64) bool {
+	r, ok := w.records[o.Host]
+	return ok && r.incarnation == o.Incarnation && epoch == w.epoch && now-r.last >= t.Witness
+}
+
+// Promise votes to fence the member at the epoch, if the member has been silent for long enough.
+func (w Witness) Promise(t Terms, now time.Duration, o ledger.Owner, epoch uint64) (Witness, bool) {
+	if !w.Silent(t, now, o, epoch) {
+		return w, false
+	}
+	r := w.records[o.Host]
+	r.promised = epoch
+	return w.with(o.Host, r), true
+}
+
+// AllSilent returns the members that have been silent for Terms.Witness, in order of their names.
+func (w Witness) AllSilent(t Terms, now time.Duration) (silent []ledger.Owner) {
+	for host, r := range w.records {
+		if now-r.last >= t.Witness {
+			silent = append(silent, ledger.Owner{Host: host, Incarnation: r.incarnation})
+		}
+	}
+	slices.SortFunc(silent, func(a, b ledger.Owner) int {
+		if a.Host < b.Host {
+			return -1
+		}
+		return 1
+	})
+	return silent
+}
--- /dev/null
+++ b/core/ledger/assign.go
@@ -0,0 +1,139 @@
+package ledger
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// assignWitnesses keeps the witnesses that are still members and fills up to 2, or 3 when the member's region
+// has three others. Members without witnesses other than actor are left alone (see Member.Witnesses).
+func (l *Ledger) assignWitnesses(actor string) {
+	load, region := map[string]int{}, map[string]int{}
+	for _, m := range l.Members {
+		region[m.Region]++
+		for _, w := range m.Witnesses {
+			load[w]++
+		}
+	}
+	for i := range l.Members {
+		m := &l.Members[i]
+		had := len(m.Witnesses) > 0
+		m.Witnesses = slices.DeleteFunc(m.Witnesses, func(w string) bool { return l.index(w) < 0 })
+		if !had && m.Host != actor {
+			continue
+		}
+		want := 2
+		if region[m.Region] > MaxWitnesses {
+			want = MaxWitnesses
+		}
+		for len(m.Witnesses) < want {
+			w := l.pickWitness(*m, load)
+			if w == "" {
+				break
+			}
+			m.Witnesses = append(m.Witnesses, w)
+			load[w]++
+		}
+	}
+}
+
+// pickWitness prefers, in this order: staying members, the own region, another failure domain, few witnessed members, hash order.
+func (l *Ledger) pickWitness(m Member, load map[string]int) (best string) {
+	var bestRank [5]uint64
+	for _, c := range l.Members {
+		if c.Host == m.Host || slices.Contains(m.Witnesses, c.Host) {
+			continue
+		}
+		rank := [5]uint64{one(c.Leaving), one(c.Region != m.Region), one(c.FailureDomain == m.FailureDomain), uint64(load[c.Host]), xxhash.Sum64String(m.Host + "\x00" + c.Host)}
+		if best == "" || slices.Compare(rank[:], bestRank[:]) < 0 {
+			best, bestRank = c.Host, rank
+		}
+	}
+	return best
+}
+
+func one(b bool) uint64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// assignSlots spreads the slots evenly over the staying members and moves as few as that takes.
+func (l *Ledger) assignSlots() {
+	count := map[string]int{}
+	var staying []string
+	for _, m := range l.Members {
+		if !m.Leaving {
+			staying = append(staying, m.Host)
+			count[m.Host] = 0
+		}
+	}
+	if len(staying) == 0 {
+		for i := range l.Slots {
+			switch {
+			case l.index(l.Slots[i].Holder) >= 0:
+			case len(l.Members) > 0:
+				l.move(i, l.Members[0].Host)
+			default:
+				l.Slots[i] = Slot{Previous: l.Slots[i].Holder, Since: l.Epoch}
+			}
+		}
+		return
+	}
+	for _, s := range l.Slots {
+		if _, ok := count[s.Holder]; ok {
+			count[s.Holder]++
+		}
+	}
+	extreme := func(better func(a, b int) bool) string {
+		best := staying[0]
+		for _, h := range staying[1:] {
+			if better(count[h], count[best]) {
+				best = h
+			}
+		}
+		return best
+	}
+	least := func() string { return extreme(func(a, b int) bool { return a < b }) }
+	for i := range l.Slots {
+		if _, ok := count[l.Slots[i].Holder]; !ok {
+			to := least()
+			if l.move(i, to) {
+				count[to]++
+			}
+		}
+	}
+	for range SlotCount {
+		from, to := extreme(func(a, b int) bool { return a > b }), least()
+		if count[from]-count[to] <= 1 {
+			return
+		}
+		moved := false
+		for i := SlotCount - 1; i >= 0 && !moved; i-- {
+			moved = l.Slots[i].Holder == from && l.move(i, to)
+		}
+		if !moved {
+			return
+		}
+		count[from]--
+		count[to]++
+	}
+}
+
+// move names to as the holder of slot i. The earlier holder, if it is still a member, must release the slot first.
+func (l *Ledger) move(i int, to string) bool {
+	s := l.Slots[i]
+	unreleased := s.Unreleased
+	if m, ok := l.Member(s.Holder); ok {
+		if len(unreleased) >= MaxUnreleased {
+			return false
+		}
+		unreleased = append(unreleased, Owner{m.Host, m.Incarnation})
+	}
+	// The new holder itself needs no release: it knows whether it still uses the slot.
+	unreleased = slices.DeleteFunc(unreleased, func(o Owner) bool { return o.Host == to })
+	l.Slots[i] = Slot{Holder: to, Previous: s.Holder, Since: l.Epoch, Unreleased: unreleased}
+	return true
+}
--- /dev/null
+++ b/core/ledger/codec.go
@@ -0,0 +1,88 @@
+package ledger
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxName bounds host, region and failure domain names in bytes.
+const maxName = 128
+
+// Encode returns the ledger as JSON.
+func (l Ledger) Encode() (value []byte, err error) {
+	defer func() { err = errors.Wrap(err, "encode the ledger") }()
+	if err := l.Validate(); err != nil {
+		return nil, err
+	}
+	return json.Marshal(l)
+}
+
+// Decode parses a value of the store and checks every invariant, so that a damaged or foreign value changes nothing.
+func Decode(value []byte) (l Ledger, err error) {
+	defer func() { err = errors.Wrapf(err, "decode the value of %s", StoreKey) }()
+	d := json.NewDecoder(bytes.NewReader(value))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&l); err != nil {
+		return Ledger{}, err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return Ledger{}, errors.New("data follows the ledger")
+	}
+	if err := l.Validate(); err != nil {
+		return Ledger{}, err
+	}
+	return l, nil
+}
+
+// Validate checks the invariants that the field comments state.
+func (l Ledger) Validate() error {
+	if l.Epoch == 0 {
+		return errors.New("epoch is 0, accepted are 1 and above")
+	}
+	if len(l.Members) > MaxMembers {
+		return errors.Newf("%d members, accepted are at most %d", len(l.Members), MaxMembers)
+	}
+	byHost := make(map[string]Member, len(l.Members))
+	last := ""
+	for i, m := range l.Members {
+		switch {
+		case m.Host == "" || len(m.Host) > maxName || len(m.Region) > maxName || len(m.FailureDomain) > maxName:
+			return errors.Newf("members[%d]: names must have 1 to %d bytes", i, maxName)
+		case m.Host <= last:
+			return errors.Newf("members[%d]: host %q is not in ascending order", i, m.Host)
+		case m.Incarnation == 0 || m.Incarnation > l.Epoch:
+			return errors.Newf("members[%d]: incarnation %d is not in 1 to %d", i, m.Incarnation, l.Epoch)
+		case len(m.Witnesses) > MaxWitnesses:
+			return errors.Newf("members[%d]: %d witnesses, accepted are at most %d", i, len(m.Witnesses), MaxWitnesses)
+		}
+		last, byHost[m.Host] = m.Host, m
+	}
+	for i, m := range l.Members {
+		for j, w := range m.Witnesses {
+			if _, ok := byHost[w]; !ok || w == m.Host || slices.Contains(m.Witnesses[:j], w) {
+				return errors.Newf("members[%d]: witness %q is not another member, or is named twice", i, w)
+			}
+		}
+	}
+	for i, s := range l.Slots {
+		if _, ok := byHost[s.Holder]; !ok && (s.Holder != "" || len(l.Members) > 0) {
+			return errors.Newf("slots[%d]: holder %q is not a member", i, s.Holder)
+		}
+		if s.Since == 0 || s.Since > l.Epoch {
+			return errors.Newf("slots[%d]: since %d is not in 1 to %d", i, s.Since, l.Epoch)
+		}
+		if len(s.Unreleased) > MaxUnreleased || len(s.Previous) > maxName {
+			return errors.Newf("slots[%d]: more than %d earlier holders or a long name", i, MaxUnreleased)
+		}
+		for _, o := range s.Unreleased {
+			if byHost[o.Host].Incarnation != o.Incarnation || o.Incarnation == 0 || o.Host == s.Holder {
+				return errors.Newf("slots[%d]: unreleased %q is not another member with incarnation %d", i, o.Host, o.Incarnation)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/ledger/ledger_test.go
@@ -0,0 +1,163 @@
+package ledger
+
+import (
+	"flag"
+	"fmt"
+	"math/bits"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Seeds are fixed; -rapid.seed on the command line takes another.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+func member(i, regions int) Member {
+	return Member{Host: fmt.Sprintf("h%02d", i), Region: fmt.Sprintf("r%d", i%regions), FailureDomain: fmt.Sprintf("z%d", i%(2*regions))}
+}
+
+func fleet(t interface{ Fatal(...any) }, n, regions int) Ledger {
+	var l Ledger
+	for i := range n {
+		var err error
+		if l, err = l.Join(member(i, regions)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, m := range l.Members {
+		if len(m.Witnesses) == 0 {
+			l, _ = l.Adopt(Owner{m.Host, m.Incarnation})
+		}
+	}
+	return l
+}
+
+// Guards against uneven slots, more moves than a change needs, dropped living witnesses and invalid ledgers after
+// any sequence of changes.
+func TestTransitionsKeepInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := fleet(t, rapid.IntRange(1, 12).Draw(t, "hosts"), 3)
+		for range rapid.IntRange(1, 12).Draw(t, "changes") {
+			m := l.Members[rapid.IntRange(0, len(l.Members)-1).Draw(t, "member")]
+			o, next := Owner{m.Host, m.Incarnation}, l
+			switch rapid.IntRange(0, 4).Draw(t, "change") {
+			case 0:
+				next, _ = l.Join(member(rapid.IntRange(0, 20).Draw(t, "joins"), 3))
+			case 1:
+				var votes []Vote
+				for _, w := range m.Witnesses {
+					wm, _ := l.Member(w)
+					votes = append(votes, Vote{w, wm.Incarnation})
+				}
+				next, _ = l.Fence(o, votes)
+			case 2:
+				next, _ = l.MarkLeaving(o)
+			case 3:
+				if len(l.Members) > 1 {
+					next, _ = l.Leave(o)
+				}
+			case 4:
+				next, _ = l.Acquired(o, l.Named(m.Host))
+			}
+			if next.Epoch == l.Epoch {
+				continue
+			}
+			check(t, l, next)
+			l = next
+		}
+	})
+}
+
+func check(t *rapid.T, before, after Ledger) {
+	if err := after.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	lowest, highest, moved, staying := SlotCount, 0, 0, 0
+	for _, m := range after.Members {
+		n := bits.OnesCount64(after.Named(m.Host))
+		if !m.Leaving {
+			lowest, highest, staying = min(lowest, n), max(highest, n), staying+1
+		}
+		if old, ok := before.Member(m.Host); ok {
+			for _, w := range old.Witnesses {
+				if _, alive := after.Member(w); alive && !slices.Contains(m.Witnesses, w) {
+					t.Fatalf("%s lost the living witness %s", m.Host, w)
+				}
+			}
+			if len(old.Witnesses) == 0 && len(m.Witnesses) > 0 && old.Incarnation == m.Incarnation && old.Leaving == m.Leaving {
+				t.Fatalf("%s was given witnesses by another host", m.Host)
+			}
+		}
+	}
+	if staying > 0 && highest-lowest > 1 {
+		t.Fatalf("slots per host range from %d to %d", lowest, highest)
+	}
+	for i := range after.Slots {
+		if after.Slots[i].Holder != before.Slots[i].Holder {
+			moved++
+		}
+	}
+	largest := 0
+	for _, l := range []Ledger{before, after} {
+		for _, m := range l.Members {
+			largest = max(largest, bits.OnesCount64(l.Named(m.Host)))
+		}
+	}
+	if moved > largest {
+		t.Fatalf("%d slots moved, one host holds at most %d", moved, largest)
+	}
+}
+
+// Guards against fencing without every witness, or by a promise that a restarted witness has forgotten.
+func TestFenceNeedsEveryCurrentWitness(t *testing.T) {
+	l := fleet(t, 6, 2)
+	m := l.Members[0]
+	o := Owner{m.Host, m.Incarnation}
+	var votes []Vote
+	for _, w := range m.Witnesses {
+		wm, _ := l.Member(w)
+		votes = append(votes, Vote{w, wm.Incarnation})
+	}
+	if _, err := l.Fence(o, votes[1:]); err == nil {
+		t.Error("fenced without the vote of a witness")
+	}
+	restarted, _ := l.Join(Member{Host: votes[0].Witness, Region: "r0"})
+	if _, err := restarted.Fence(o, votes); err == nil {
+		t.Error("fenced with the vote of an ended incarnation")
+	}
+	next, err := l.Fence(o, votes)
+	if err != nil || next.Has(o) || next.Named(o.Host) != 0 {
+		t.Errorf("fence failed: %v", err)
+	}
+	if dead := l.RegionDead("r0"); len(dead.Members) != 3 || dead.Validate() != nil {
+		t.Errorf("region r0 leaves %d members, want 3", len(dead.Members))
+	}
+}
+
+// Guards against a damaged or foreign value in the store being taken as the ledger.
+func TestDecodeRejectsBadValues(t *testing.T) {
+	value, err := fleet(t, 3, 1).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := string(value)
+	if l, err := Decode(value); err != nil || l.Epoch == 0 {
+		t.Fatalf("decode of an encoded ledger: %v", err)
+	}
+	for _, c := range []struct{ name, old, new string }{
+		{"unknown field", `"epoch"`, `"extra":1,"epoch"`},
+		{"epoch 0", `"epoch":`, `"epoch":0,"x":`},
+		{"unknown holder", `"holder":"h00"`, `"holder":"h99"`},
+		{"self as witness", `"witnesses":["h01"`, `"witnesses":["h00"`},
+		{"incarnation above the epoch", `"incarnation":1,`, `"incarnation":99,`},
+		{"trailing data", `}]}`, `}]}{}`},
+		{"members out of order", `"host":"h00","incarnation"`, `"host":"h77","incarnation"`},
+	} {
+		bad := strings.Replace(good, c.old, c.new, 1)
+		if _, err := Decode([]byte(bad)); bad == good || err == nil {
+			t.Errorf("%s: accepted", c.name)
+		}
+	}
+}
--- a/core/ledger/types.go
+++ b/core/ledger/types.go
@@ -7,6 +7,14 @@
 // StoreKey is the key of the ledger in the store.
 const StoreKey = "ledger/current"
 
+// Bounds of the ledger's collections.
+const (
+	MaxWitnesses = 3
+	MaxMembers   = 8192
+	// MaxUnreleased bounds Slot.Unreleased; a slot at the bound stays with its living holder.
+	MaxUnreleased = 8
+)
+
 // Member is a host that may hold slots.
 type Member struct {
 	Host string `json:"host"`
@@ -14,18 +22,29 @@
 	Incarnation   uint64 `json:"incarnation"`
 	Region        string `json:"region"`
 	FailureDomain string `json:"failure-domain"`
-	// Witnesses holds at most 3 host ids, never the member itself.
+	// Witnesses holds at most 3 host ids, never the member itself. A member without witnesses holds its
+	// lease always, so only the member itself may go from none to some (Adopt).
+	// A witness is dropped only when it is no longer a member.
 	Witnesses []string `json:"witnesses,omitempty"`
 	Leaving   bool     `json:"leaving,omitempty"`
 }
 
+// Owner is one incarnation of a host.
+type Owner struct {
+	Host        string `json:"host"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
 // Slot names who may use one share of each budget.
 type Slot struct {
 	Holder string `json:"holder"`
-	// Previous is the holder before the last change; its release, or its removal from Members, frees the slot.
+	// Previous is the holder before the last change.
 	Previous string `json:"previous,omitempty"`
 	// Since is the epoch of the last change.
 	Since uint64 `json:"since"`
+	// Unreleased lists the earlier holders that may still use the slot. The holder starts when each of them
+	// has released it to the holder or is no longer a member with that incarnation.
+	Unreleased []Owner `json:"unreleased,omitempty"`
 }
 
 // Ledger is the state at one epoch. It is immutable: changes return a new value.
@@ -35,3 +54,29 @@
 	Members []Member        `json:"members"`
 	Slots   [SlotCount]Slot `json:"slots"`
 }
+
+// Member returns the entry of host.
+func (l Ledger) Member(host string) (Member, bool) {
+	for _, m := range l.Members {
+		if m.Host == host {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// Has reports whether this incarnation is a member.
+func (l Ledger) Has(o Owner) bool {
+	m, ok := l.Member(o.Host)
+	return ok && m.Incarnation == o.Incarnation
+}
+
+// Named returns the set of slots that name host as their holder, one bit for each slot.
+func (l Ledger) Named(host string) (slots uint64) {
+	for i, s := range l.Slots {
+		if s.Holder == host {
+			slots |= 1 << i
+		}
+	}
+	return slots
+}
