--- a/host/control.go
+++ b/host/control.go
@@ -50,10 +50,12 @@
 
 // Status returns what the host knows about itself and the fleet.
 func (h *Host) Status() operators.Status {
+	budgets := h.budgets.Status()
 	return operators.Status{
 		Host: h.settings.Host, Region: h.settings.Region, FailureDomain: h.settings.FailureDomain,
 		Ready: h.Ready(), Draining: h.draining.Load(),
 		Sequence: h.configs.Sequence(), Fresh: h.configs.Fresh(""),
+		LeaseValid: budgets.LeaseValid, LedgerEpoch: budgets.Epoch, Slots: budgets.Held,
 		Members: h.members.Members(), BackendServers: len(h.servers.get()),
 	}
 }
--- a/host/host.go
+++ b/host/host.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +15,7 @@
 
 	"vanillatally/core/membership"
 	"vanillatally/core/quarantine"
+	"vanillatally/host/budgets"
 	"vanillatally/host/configs"
 	"vanillatally/host/members"
 	"vanillatally/host/request"
@@ -41,6 +44,8 @@
 	members  *members.Service
 	configs  *configs.Service
 	servers  *servers
+	budgets  *budgets.Service
+	links    linkNames
 	requests *request.Service
 	callers  *callers.Server
 
@@ -72,6 +77,12 @@
 		Host: s.Host, Region: s.Region, Store: objects, Peers: h.node, Table: table, Members: h.members,
 		Log: log.Logger(), Seed: uint64(h.start.UnixNano()),
 	})
+	h.budgets = budgets.New(budgets.Options{
+		Host: s.Host, Region: s.Region, FailureDomain: s.FailureDomain,
+		Store: objects, Caller: h.node, Table: table, Seeds: slices.Sorted(maps.Keys(s.Seeds)),
+		Broadcast: h.members.Broadcast, Clock: h.now, MaxWait: time.Duration(s.Limits.BudgetWait), Log: log.Logger(),
+	})
+	h.configs.Subscribe(h.applyLimits)
 	h.requests = h.newRequests(table)
 	h.callers = callers.New(callers.Options{
 		Requests: h.requests, Lookup: http.HandlerFunc(h.lookup),
@@ -104,8 +115,13 @@
 			PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress,
 		},
 		Seeds: seeds, Caller: h.node, Peers: table, List: list, Now: h.now,
-		Digest:   func() membership.Digest { return membership.Digest{Sequence: h.configs.Sequence()} },
-		OnBehind: func(host string, shown membership.Digest) { h.configs.Notice(host, shown.Sequence) },
+		Digest: func() membership.Digest {
+			return membership.Digest{Sequence: h.configs.Sequence(), Epoch: h.budgets.Ledger().Epoch}
+		},
+		OnBehind: func(host string, shown membership.Digest) {
+			h.configs.Notice(host, shown.Sequence)
+			h.budgets.Observe(host, shown.Epoch)
+		},
 		OnChange: h.onMembers, Logger: h.log.Logger(),
 	})
 }
@@ -120,7 +136,7 @@
 	requests := request.New(request.Options{
 		Host: h.settings.Host, Region: h.settings.Region, FailureDomain: h.settings.FailureDomain,
 		Configuration: h.configs.Current, Fresh: h.configs.Fresh, BackendServers: h.servers.get,
-		Notify: h.notifyQuarantine, Hook: h.hook,
+		Admitter: h.budgets, Link: h.admitLink, Notify: h.notifyQuarantine, Hook: h.hook,
 	})
 	peers.Handle(table, quarantineKind, func(_ context.Context, _ string, notice quarantine.Notice) (struct{}, error) {
 		requests.HandleNotice(notice)
@@ -129,6 +145,16 @@
 	return requests
 }
 
+// admitLink charges bytes to the link between two regions; regions without a configured link have no limit.
+func (h *Host) admitLink(from, to string, bytes float64) bool {
+	name, ok := h.links.name(from, to)
+	if !ok {
+		return true
+	}
+	decision, err := h.budgets.LinkAdmit(context.Background(), name, bytes)
+	return err == nil && decision.Admitted
+}
+
 // quarantineKind is the kind of the messages that tell of a request that crashes backend servers.
 const quarantineKind = "quarantine-notice"
 
@@ -175,7 +201,7 @@
 	for i, server := range []*http.Server{peerServer, operatorServer} {
 		group.Go(func() error { return serve(server, listeners[i]) })
 	}
-	for _, run := range []func(context.Context) error{h.servers.run, h.members.Run, h.configs.Run, h.requests.Run} {
+	for _, run := range []func(context.Context) error{h.servers.run, h.members.Run, h.configs.Run, h.budgets.Run, h.requests.Run} {
 		group.Go(func() error { return run(parts) })
 	}
 	h.callers.Start(listeners[2])
@@ -208,7 +234,7 @@
 	if shutdown := h.callers.Shutdown(ctx); shutdown != nil {
 		h.log.Emit(events.DrainTimedOut, "error", shutdown)
 	}
-	return err
+	return errors.CombineErrors(err, h.budgets.Leave(ctx))
 }
 
 func (h *Host) closeServers(servers ...*http.Server) (err error) {
--- /dev/null
+++ b/host/limits.go
@@ -0,0 +1,53 @@
+package host
+
+import (
+	"sync/atomic"
+
+	"vanillatally/core/budget"
+	"vanillatally/core/config"
+	"vanillatally/io/events"
+)
+
+// linkNames maps the two regions of a link to its name. It is replaced as a whole with each configuration.
+type linkNames struct {
+	byRegions atomic.Pointer[map[[2]string]string]
+}
+
+func (l *linkNames) name(from, to string) (string, bool) {
+	names := l.byRegions.Load()
+	if names == nil {
+		return "", false
+	}
+	name, ok := (*names)[[2]string{from, to}]
+	return name, ok
+}
+
+// applyLimits puts the rates and link capacities of a configuration in force at this host's budgets.
+func (h *Host) applyLimits(c *config.Configuration) {
+	teams := map[string]budget.Limits{}
+	for name := range c.Teams {
+		if team, ok := c.EffectiveTeam(name); ok {
+			teams[name] = budget.Limits{Rate: team.Rate, Burst: team.Burst}
+		}
+	}
+	links, names := map[string]budget.Limits{}, map[[2]string]string{}
+	for name, link := range c.Links {
+		// A link may carry its capacity at any instant, and no more than one second of it at once.
+		links[name] = budget.Limits{Rate: link.BytesPerSecond, Burst: link.BytesPerSecond}
+		names[[2]string{link.From, link.To}] = name
+	}
+	h.setTable(h.budgets.SetTeams, teams)
+	h.setTable(h.budgets.SetLinks, links)
+	h.links.byRegions.Store(&names)
+	h.log.Emit(events.ConfigApplied, "sequence", c.Sequence)
+}
+
+func (h *Host) setTable(set func(budget.Table), limits map[string]budget.Limits) {
+	table, err := budget.NewTable(limits)
+	if err != nil {
+		// The configuration's own checks are at least as strict.
+		h.log.Emit(events.ConfigInvalid, "error", err)
+		return
+	}
+	set(table)
+}
--- a/load/report.go
+++ b/load/report.go
@@ -53,6 +53,7 @@
 func (r *Runner) Report(servers *Servers) Report {
 	report := Report{DurationSeconds: time.Since(r.start).Seconds(), Skipped: r.skipped.Load(), Refusals: map[string]int{}}
 	type group struct{ team, route string }
+	r.markTeams()
 	latencies := map[group][]time.Duration{}
 	routes := map[group]*RouteReport{}
 	for _, s := range r.samples {
@@ -67,7 +68,7 @@
 		case s.refusal != "":
 			route.Refused++
 			report.Refusals[s.refusal]++
-			if s.withinRate && s.refusal == "rate-exceeded" {
+			if s.withinRate {
 				route.RefusedWithinRate++
 			}
 		case s.failed || s.status >= 500:
@@ -90,19 +91,33 @@
 	return report
 }
 
-// worstTeam compares the served share of the requests that were within the team's rate.
+// markTeams marks the refusals within rate of every team.
+func (r *Runner) markTeams() {
+	for _, team := range r.profile.Teams {
+		var samples []*sample
+		for i := range r.samples {
+			if r.samples[i].team == team.Name {
+				samples = append(samples, &r.samples[i])
+			}
+		}
+		markWithinRate(team, samples)
+	}
+}
+
+// worstTeam compares the served share of what was due to each team: all but the refusals beyond its rate.
 func worstTeam(samples []sample) (worst string, share float64) {
-	sent, served := map[string]int{}, map[string]int{}
+	due, served := map[string]int{}, map[string]int{}
 	for _, s := range samples {
-		if s.withinRate {
-			sent[s.team]++
-			if s.refusal == "" && !s.failed {
-				served[s.team]++
-			}
+		if s.refusal == rateReason && !s.withinRate {
+			continue
+		}
+		due[s.team]++
+		if s.refusal == "" && !s.failed {
+			served[s.team]++
 		}
 	}
 	share = 2
-	for team, n := range sent {
+	for team, n := range due {
 		if part := float64(served[team]) / float64(n); part < share || part == share && team < worst {
 			worst, share = team, part
 		}
@@ -128,7 +143,7 @@
 		fmt.Fprintf(out, "%-12s %-16s %8d %8d %8d %8d %8d %9.2f %9.2f %9.2f\n",
 			t.Team, t.Route, t.Requests, t.Succeeded, t.Refused, t.RefusedWithinRate, t.Failed, t.P50, t.P99, t.P999)
 	}
-	fmt.Fprintf(out, "worst-served team: %s, %.2f%% of its requests within rate\n", r.WorstTeam, 100*r.WorstTeamServed)
+	fmt.Fprintf(out, "worst-served team: %s, %.2f%% of what was due to it\n", r.WorstTeam, 100*r.WorstTeamServed)
 	fmt.Fprintf(out, "refusals by reason: %v; skipped arrivals: %d\n", r.Refusals, r.Skipped)
 	for _, h := range r.Headroom {
 		fmt.Fprintf(out, "headroom in %-12s mean %.0f%%, lowest %.0f%% of %d slots\n", h.Region, 100*h.Mean, 100*h.Lowest, h.Slots)
--- a/load/runner.go
+++ b/load/runner.go
@@ -27,7 +27,7 @@
 	refusal        string
 	ran            string
 	failed         bool
-	// withinRate is set when the team's own token bucket had a token for the request.
+	// withinRate is set by markWithinRate for refusals for lack of rate although the team had some left.
 	withinRate bool
 	tag        string
 	key        string
@@ -69,11 +69,10 @@
 	for i, team := range r.profile.Teams {
 		client := hosts.New(r.hostsFrom(i), team.Client)
 		defer client.Close()
-		bucket := &modelBucket{rate: team.Rate, burst: team.Burst, level: team.Burst}
 		for j, stream := range team.Streams {
 			random := rand.New(rand.NewPCG(seed, uint64(i*100+j)))
 			group.Go(func() error {
-				r.stream(ctx, client, bucket, team, stream, random)
+				r.stream(ctx, client, team, stream, random)
 				return nil
 			})
 		}
@@ -88,7 +87,7 @@
 }
 
 // stream sends one kind of request with exponential gaps between arrivals.
-func (r *Runner) stream(ctx context.Context, client *hosts.Client, bucket *modelBucket, team Team, stream Stream, random *rand.Rand) {
+func (r *Runner) stream(ctx context.Context, client *hosts.Client, team Team, stream Stream, random *rand.Rand) {
 	requests := &errgroup.Group{}
 	requests.SetLimit(maxInFlight)
 	defer func() { _ = requests.Wait() }()
@@ -104,7 +103,7 @@
 		}
 		number := r.next.Add(1)
 		started := requests.TryGo(func() error {
-			r.one(client, bucket, team, stream, number)
+			r.one(client, team, stream, number)
 			return nil
 		})
 		if !started {
@@ -115,12 +114,11 @@
 
 // one sends one request and records what its caller saw. It has its own deadline, so that the end of the
 // run does not cancel requests in flight.
-func (r *Runner) one(client *hosts.Client, bucket *modelBucket, team Team, stream Stream, number uint64) {
+func (r *Runner) one(client *hosts.Client, team Team, stream Stream, number uint64) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(stream.Deadline))
 	defer cancel()
 	tag := fmt.Sprintf("%s-%d", r.run, number)
 	s := sample{team: team.Name, route: stream.Route, tag: tag, sent: time.Since(r.start)}
-	s.withinRate = bucket.take(s.sent)
 	path := fmt.Sprintf("%s/%d", stream.Path, number)
 	request := hosts.Request{
 		Route: stream.Route, Method: stream.Method, Path: path, Key: team.Key,
@@ -146,25 +144,3 @@
 	r.samples = append(r.samples, s)
 	r.mu.Unlock()
 }
-
-// modelBucket is the caller's own count of its team's rate, for refusals within rate.
-type modelBucket struct {
-	mu    sync.Mutex
-	rate  float64
-	burst float64
-	// level is at most burst.
-	level float64
-	at    time.Duration
-}
-
-func (b *modelBucket) take(now time.Duration) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.level = min(b.burst, b.level+max(0, (now-b.at).Seconds())*b.rate)
-	b.at = max(b.at, now)
-	if b.level < 1 {
-		return false
-	}
-	b.level--
-	return true
-}
