Add at-most-once claims

Cause: a keyed non-idempotent request must run at most once over all hosts, also when owners and executors die, pause, restart or are cut off.

--- /dev/null
+++ b/core/claim/takeover.go
@@ -0,0 +1,175 @@
+package claim
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"vanillatally/core/ledger"
+)
+
+// Lost is a process that was removed from the ledger, at the time At on the clock of whoever holds
+// the value; messages carry ages.
+type Lost struct {
+	Holder Holder        `cbor:"holder"`
+	At     time.Duration `cbor:"at"`
+}
+
+// Cover states that an owner has copied to a living member all records whose copy was at a lost process.
+type Cover struct {
+	Owner Holder `cbor:"owner"`
+	Lost  Holder `cbor:"lost"`
+}
+
+// maxLost bounds the losses and the covers that are remembered. More losses within the retention time
+// shorten the known history instead, so slots are refused rather than granted.
+const maxLost = 1024
+
+// History is what a host knows about losses. It is immutable.
+type History struct {
+	// Complete says that the ledger was observed from its first epoch on.
+	Complete bool
+	// From is the time from which Lost has all losses, unless Complete is set.
+	From time.Duration
+	Lost []Lost
+	seen ledger.Ledger
+}
+
+// Observe returns the history after the host has seen a ledger.
+func (h History) Observe(l ledger.Ledger, now time.Duration, retention time.Duration) History {
+	if l.Epoch <= h.seen.Epoch {
+		return h
+	}
+	var lost []Lost
+	explained := uint64(0)
+	for _, m := range l.Members {
+		if m.Incarnation > h.seen.Epoch {
+			explained++
+		}
+	}
+	for _, m := range h.seen.Members {
+		if gone := (Holder{Host: m.Host, Incarnation: m.Incarnation}); !IsMember(l, gone) {
+			lost = append(lost, Lost{Holder: gone, At: now})
+		}
+	}
+	if slices.ContainsFunc(lost, func(x Lost) bool { return Incarnation(l, x.Holder.Host) == 0 }) {
+		explained++
+	}
+	// A process could have joined and gone unseen in epochs that were skipped, unless these are the
+	// joins of present members (incarnations are the epochs of the joins) and one removal.
+	skipped := l.Epoch - h.seen.Epoch
+	switch hidden := skipped > explained; {
+	case h.seen.Epoch == 0:
+		h.Complete, h.From = !hidden, now
+	case hidden && skipped > 1:
+		h.Complete, h.From = false, now
+	}
+	h.seen = l
+	return h.with(lost, now, retention)
+}
+
+// Join adds what another host knows; its times have been turned into this host's.
+func (h History) Join(complete bool, from time.Duration, lost []Lost, now, retention time.Duration) History {
+	h.Complete = h.Complete || complete
+	h.From = min(h.From, from)
+	return h.with(lost, now, retention)
+}
+
+func (h History) with(lost []Lost, now, retention time.Duration) History {
+	merged := slices.DeleteFunc(slices.Clone(h.Lost), func(l Lost) bool { return now-l.At > retention })
+	for _, l := range lost {
+		known := slices.ContainsFunc(merged, func(k Lost) bool { return k.Holder == l.Holder })
+		if !known && now-l.At <= retention {
+			merged = append(merged, l)
+		}
+	}
+	slices.SortFunc(merged, func(a, b Lost) int { return cmp.Compare(a.At, b.At) })
+	if excess := len(merged) - maxLost; excess > 0 {
+		h.Complete, h.From = false, merged[excess-1].At
+		merged = merged[excess:]
+	}
+	h.Lost = merged
+	return h
+}
+
+// Fresh says that a slot has had no other owner since the ledger was created.
+func Fresh(l ledger.Ledger, slot int) bool {
+	return l.Slots[slot].Previous == "" && Tenure(l, slot) == 1
+}
+
+// Predecessor returns the host that held the slot before the tenure of its holder.
+func Predecessor(l ledger.Ledger, slot int) string {
+	s := l.Slots[slot]
+	if s.Since < Incarnation(l, s.Holder) {
+		// The slot was assigned to an earlier process of the same host.
+		return s.Holder
+	}
+	return s.Previous
+}
+
+// BlockedUntil returns the time until which a slot answers Unknown, after all members were asked and
+// its previous owner was not among them. A claim is lost when its owner and the holder of its copy are
+// both lost, so each further loss within the retention time counts unless the owner has covered it.
+func (h History) BlockedUntil(previous string, covers []Cover, retention time.Duration) time.Duration {
+	var until time.Duration
+	if !h.Complete {
+		until = h.From + retention
+	}
+	owner := Holder{}
+	for _, l := range h.Lost {
+		if l.Holder.Host == previous && l.Holder.Incarnation > owner.Incarnation {
+			owner = l.Holder
+		}
+	}
+	for _, l := range h.Lost {
+		if l.Holder == owner || slices.Contains(covers, Cover{Owner: owner, Lost: l.Holder}) {
+			continue
+		}
+		until = max(until, l.At+retention)
+	}
+	return until
+}
+
+// BlockedWithoutOwner is BlockedUntil when the previous owner lives but had not taken over the slot
+// itself: the owner before it is not known, so any two losses count.
+func (h History) BlockedWithoutOwner(retention time.Duration) time.Duration {
+	var until time.Duration
+	if !h.Complete {
+		until = h.From + retention
+	}
+	if len(h.Lost) > 1 {
+		until = max(until, h.Lost[len(h.Lost)-1].At+retention)
+	}
+	return until
+}
+
+// Seconds returns the other members in the order in which an owner places its copies with them.
+func Seconds(l ledger.Ledger, owner string) []Holder {
+	type ranked struct {
+		holder  Holder
+		leaving bool
+		weight  uint64
+	}
+	var members []ranked
+	for _, m := range l.Members {
+		if m.Host != owner {
+			members = append(members, ranked{Holder{m.Host, m.Incarnation}, m.Leaving, xxhash.Sum64String(owner + "\x00" + m.Host)})
+		}
+	}
+	slices.SortFunc(members, func(a, b ranked) int {
+		if a.leaving != b.leaving {
+			if a.leaving {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(b.weight, a.weight)
+	})
+	holders := make([]Holder, len(members))
+	for i, m := range members {
+		holders[i] = m.holder
+	}
+	return holders
+}
