Answer look-ups over HTTP from an index that follows hosts, servers and configuration

Callers had no way to ask which host to use. host/lookup serves GET /v1/lookup with ranked hosts and sites, a jittered time to live and machine-readable refusals.

--- a/core/steering/bench_test.go
+++ b/core/steering/bench_test.go
@@ -8,6 +8,8 @@
 	"runtime"
 	"sync/atomic"
 	"testing"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // targetFleet returns the target of two years (630,000 blocks, 2,900 sites, 71 failure domains, 21 regions, 4,096
@@ -155,19 +157,19 @@
 	eachSize(b, func(b *testing.B, s *Snapshot, clients []netip.Addr) {
 		var published atomic.Pointer[Snapshot]
 		published.Store(s)
-		done, stopped := make(chan struct{}), make(chan struct{})
-		go func() {
-			defer close(stopped)
+		done := make(chan struct{})
+		var writer errgroup.Group
+		writer.Go(func() error {
 			for i := 0; ; i++ {
 				select {
 				case <-done:
-					return
+					return nil
 				default:
 					p, _ := clients[i%len(clients)].Prefix(28)
 					published.Store(must(s.WithBlock(p, LocationID(i%100))))
 				}
 			}
-		}()
+		})
 		var out Ranking
 		i := 0
 		for b.Loop() {
@@ -175,7 +177,7 @@
 			published.Load().Rank(Query{Client: clients[i%len(clients)]}, 3, &out)
 		}
 		close(done)
-		<-stopped
+		_ = writer.Wait()
 		b.ReportMetric(float64(b.N)/b.Elapsed().Seconds()/1e6, "M-lookups/s")
 	})
 }
--- a/core/steering/order.go
+++ b/core/steering/order.go
@@ -59,7 +59,13 @@
 // bucketKey stands for the clients of a bucket in newOrder.
 func bucketKey(id LocationID, bucket uint64) uint64 { return mix(uint64(id)*buckets + bucket) }
 
+// noNear is shared by all locations without sites.
+var noNear = &near{}
+
 func newNear(seats []seat, id LocationID, sites []SiteID) *near {
+	if len(sites) == 0 {
+		return noNear
+	}
 	n := &near{}
 	copy(n.sites[:], sites)
 	for b := range n.orders {
--- a/core/steering/rank.go
+++ b/core/steering/rank.go
@@ -31,7 +31,7 @@
 func (s *Snapshot) Rank(q Query, want int, out *Ranking) {
 	client := q.Client.Unmap()
 	id, known := s.Location(client)
-	if !known {
+	if known = known && int(id) < len(s.locations); !known {
 		id = q.Fallback
 	}
 	out.Location, out.Known, out.Len = id, known, 0
--- a/core/steering/snapshot.go
+++ b/core/steering/snapshot.go
@@ -165,6 +165,17 @@
 	return &next
 }
 
+// WithPlaces replaces sites and locations and keeps the blocks, so that indexes with different places share them.
+// Blocks of locations beyond the new list count as unknown to callers of Rank with a valid fallback.
+func (s *Snapshot) WithPlaces(sites []Site, locations []Location) (*Snapshot, error) {
+	next, err := New(sites, locations, nil)
+	if err != nil {
+		return nil, err
+	}
+	next.blocks, next.front, next.front6 = s.blocks, s.front, s.front6
+	return next, nil
+}
+
 // reorder recomputes the orders of locations that have a site whose name or capacity differs from the old snapshot's.
 func (s *Snapshot) reorder(old *Snapshot) {
 	changed := make([]bool, len(s.seats))
--- /dev/null
+++ b/host/lookup/handler.go
@@ -0,0 +1,267 @@
+package lookup
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"vanillatally/core/steering"
+)
+
+// Answer is the answer to GET /v1/lookup.
+type Answer struct {
+	// Hosts is ranked, best first. A caller tries the next one when one cannot be reached.
+	Hosts []Host `json:"hosts"`
+	// Sites is ranked, best first.
+	Sites []string `json:"sites"`
+	Route string   `json:"route"`
+	// Region is the caller's region, or this host's when RegionKnown is false.
+	Region      string `json:"region"`
+	RegionKnown bool   `json:"region-known"`
+	// TTLMillis is how long the caller may use the answer.
+	TTLMillis int64 `json:"ttl-ms"`
+	// ConfigurationSequence is the sequence of the configuration that the answer was made from.
+	ConfigurationSequence uint64 `json:"configuration-sequence"`
+}
+
+// Host is a host in an answer.
+type Host struct {
+	Host          string `json:"host"`
+	Address       string `json:"address"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failure-domain"`
+	Site          string `json:"site"`
+}
+
+// Refusal is the answer to a look-up that cannot be answered. Ran is always "not-run": a look-up changes nothing.
+type Refusal struct {
+	Reason           string `json:"reason"`
+	Ran              string `json:"ran"`
+	RetryAfterMillis int64  `json:"retry-after-ms,omitempty"`
+	Message          string `json:"message"`
+}
+
+// The reasons of refusals.
+const (
+	ReasonMethod     = "method-not-allowed"
+	ReasonQuery      = "bad-query"
+	ReasonUnknownKey = "unknown-query-key"
+	ReasonRepeated   = "repeated-query-key"
+	ReasonNoRoute    = "missing-route"
+	ReasonRoute      = "unknown-route"
+	ReasonTeam       = "unknown-team"
+	ReasonAddress    = "bad-address"
+	ReasonStarting   = "starting"
+	ReasonNoCapacity = "no-capacity"
+)
+
+const (
+	// ttl is the time to live of answers before the jitter.
+	ttl = 5 * time.Second
+	// hostsPerSite limits the hosts that an answer names of one site, so that it also names other sites.
+	hostsPerSite = 2
+	// maxQueryBytes limits the query, which is refused beyond.
+	maxQueryBytes = 2048
+)
+
+var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 2048); return &b }}
+
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodGet && r.Method != http.MethodHead {
+		w.Header().Set("Allow", "GET, HEAD")
+		refuse(w, http.StatusMethodNotAllowed, ReasonMethod, "use GET", 0)
+		return
+	}
+	v := s.view.Load()
+	if v == nil {
+		refuse(w, http.StatusServiceUnavailable, ReasonStarting, "this host has no configuration yet; ask another host", time.Second)
+		return
+	}
+	q, reason, message := parse(r.URL.RawQuery, r.RemoteAddr)
+	if reason != "" {
+		refuse(w, http.StatusBadRequest, reason, message, 0)
+		return
+	}
+	route := v.route(q.route)
+	if route == nil {
+		refuse(w, http.StatusBadRequest, ReasonRoute, fmt.Sprintf("no route has a path prefix of %q", q.route), 0)
+		return
+	}
+	var holders []string
+	if q.team != "" {
+		if _, known := v.teams[q.team]; !known {
+			refuse(w, http.StatusBadRequest, ReasonTeam, fmt.Sprintf("there is no team %q", q.team), 0)
+			return
+		}
+		if s.options.ShareHolders != nil {
+			holders = s.options.ShareHolders(q.team)
+		}
+	}
+	key := steering.ClientKey(q.address)
+	var ranking steering.Ranking
+	snapshot := v.services[route.service]
+	snapshot.Rank(steering.Query{Client: q.address, Fallback: v.home + steering.LocationID(key>>32%locationsPerRegion)}, steering.MaxRanked, &ranking)
+	if ranking.Len == 0 {
+		refuse(w, http.StatusServiceUnavailable, ReasonNoCapacity, "no site has room for this caller", jitter(key, s.options.Now(), time.Second))
+		return
+	}
+	buffer := buffers.Get().(*[]byte)
+	*buffer = v.append((*buffer)[:0], route, &ranking, key, holders, jitter(key, s.options.Now(), ttl))
+	h := w.Header()
+	h["Content-Type"] = contentType
+	h["Cache-Control"] = noStore
+	h.Set("Content-Length", strconv.Itoa(len(*buffer)))
+	_, _ = w.Write(*buffer) // a caller that has gone needs no answer
+	buffers.Put(buffer)
+}
+
+var (
+	contentType = []string{"application/json"}
+	// noStore keeps HTTP caches out: they would serve one caller's answer to another.
+	noStore = []string{"no-store"}
+)
+
+type query struct {
+	route, team string
+	address     netip.Addr
+}
+
+// parse reads a query, or returns the reason and message of a refusal. Without an address, the caller's own is used.
+func parse(raw, remote string) (q query, reason, message string) {
+	if len(raw) > maxQueryBytes {
+		return q, ReasonQuery, fmt.Sprintf("the query has %d bytes; accepted: at most %d", len(raw), maxQueryBytes)
+	}
+	values, err := url.ParseQuery(raw)
+	if err != nil {
+		return q, ReasonQuery, err.Error()
+	}
+	for key, list := range values {
+		switch {
+		case key != "route" && key != "address" && key != "team":
+			return q, ReasonUnknownKey, fmt.Sprintf("unknown key %q; accepted: route, address, team", key)
+		case len(list) > 1:
+			return q, ReasonRepeated, fmt.Sprintf("key %q is given %d times", key, len(list))
+		}
+	}
+	if q.route, q.team = values.Get("route"), values.Get("team"); q.route == "" {
+		return q, ReasonNoRoute, "the key route is missing"
+	}
+	address, given := values["address"]
+	if !given {
+		source, err := netip.ParseAddrPort(remote)
+		if err != nil {
+			return q, ReasonAddress, "the caller's own address is not an IP address; give the key address"
+		}
+		q.address = source.Addr().Unmap()
+		return q, "", ""
+	}
+	q.address, err = netip.ParseAddr(address[0])
+	if err != nil || q.address.Zone() != "" {
+		return q, ReasonAddress, fmt.Sprintf("%q is not an IPv4 or IPv6 address", address[0])
+	}
+	q.address = q.address.Unmap()
+	return q, "", ""
+}
+
+// route finds a route by name, or by the longest path prefix when the text starts with a slash.
+func (v *view) route(text string) *routeView {
+	path := strings.HasPrefix(text, "/")
+	for i := range v.routes {
+		if r := &v.routes[i]; path && strings.HasPrefix(text, r.prefix) || !path && r.name == text {
+			return r
+		}
+	}
+	return nil
+}
+
+// jitter spreads d by ±20%, so that answers do not expire together. It depends on the client and the second only, so
+// that equal requests get equal answers.
+func jitter(key uint64, now, d time.Duration) time.Duration {
+	h := (key ^ uint64(now/time.Second)*0x9e3779b97f4a7c15) * 0xff51afd7ed558ccd
+	h ^= h >> 32
+	part := time.Duration(h % 4001) // 0 to 4000, for 0.8 to 1.2
+	return d*8/10 + d*part/10000
+}
+
+func (v *view) append(b []byte, route *routeView, ranking *steering.Ranking, key uint64, holders []string, life time.Duration) []byte {
+	b = append(b, `{"hosts":[`...)
+	comma := false
+	for _, id := range ranking.Sites[:ranking.Len] {
+		var chosen [hostsPerSite]*hostView
+		choose(v.sites[id].hosts, key, holders, &chosen)
+		for _, host := range chosen {
+			if host == nil {
+				continue
+			}
+			if comma {
+				b = append(b, ',')
+			}
+			b, comma = append(b, host.fragment...), true
+		}
+	}
+	b = append(b, `],"sites":[`...)
+	for i, id := range ranking.Sites[:ranking.Len] {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = append(b, v.sites[id].fragment...)
+	}
+	b = append(append(b, `],"route":`...), route.fragment...)
+	b = append(b, `,"region":`...)
+	b = append(b, v.regions[int(ranking.Location)/locationsPerRegion]...)
+	b = strconv.AppendBool(append(b, `,"region-known":`...), ranking.Known)
+	b = strconv.AppendInt(append(b, `,"ttl-ms":`...), life.Milliseconds(), 10)
+	b = strconv.AppendUint(append(b, `,"configuration-sequence":`...), v.sequence, 10)
+	return append(b, '}', '\n')
+}
+
+// choose picks the site's first hosts by rendezvous hashing, holders of the team's shares before others, because
+// they admit without borrowing.
+func choose(hosts []hostView, key uint64, holders []string, chosen *[hostsPerSite]*hostView) {
+	better := func(x, y *hostView) bool {
+		if y == nil {
+			return true
+		}
+		if a, b := slices.Contains(holders, x.id), slices.Contains(holders, y.id); a != b {
+			return a
+		}
+		return rendezvous(x.hash, key) > rendezvous(y.hash, key)
+	}
+	for i := range hosts {
+		h := &hosts[i]
+		for place := range chosen {
+			if better(h, chosen[place]) {
+				h, chosen[place] = chosen[place], h
+			}
+			if h == nil {
+				break
+			}
+		}
+	}
+}
+
+func rendezvous(host, key uint64) uint64 {
+	h := (host ^ key) * 0xff51afd7ed558ccd
+	h = (h ^ h>>33) * 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+func refuse(w http.ResponseWriter, status int, reason, message string, retryAfter time.Duration) {
+	h := w.Header()
+	h["Content-Type"] = contentType
+	h["Cache-Control"] = noStore
+	h.Set("X-Refusal-Reason", reason)
+	h.Set("X-Request-Ran", "not-run")
+	if retryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int((retryAfter+time.Second-1)/time.Second)))
+	}
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(Refusal{reason, "not-run", retryAfter.Milliseconds(), message}) // the caller may have gone
+}
