Join claims and look-ups; count lost members in the ledger; hand claims over when a host leaves

Cause: claims judged from skipped epochs whether a process could have been lost. Two planned stops within the retention time counted as two losses. Change: the ledger counts members removed without having left; claims use the count. A leaving host stays a member until later owners have gathered its slots and owners have moved the copies that it holds. The forwarder asks whether a claim is still valid just before it sends. Look-ups come from the index, with hosts that hold a team's shares first.

--- a/core/claim/record.go
+++ b/core/claim/record.go
@@ -97,6 +97,12 @@
 	return h.Host != "" && h.Incarnation != 0 && Incarnation(l, h.Host) == h.Incarnation
 }
 
+// IsLeaving says whether this process of a host is a member that is about to stop.
+func IsLeaving(l ledger.Ledger, h Holder) bool {
+	m, ok := l.Member(h.Host)
+	return ok && m.Incarnation == h.Incarnation && m.Leaving
+}
+
 // Decide answers an arrival at the owner. The key's record is the zero Record when there is none. When
 // the answer is Granted and fresh, the returned record has to be stored, with its copy, first.
 func Decide(known Record, request Request, arrival Arrival, next uint64, now time.Duration) (record Record, answer Answer, fresh bool) {
--- a/core/claim/takeover.go
+++ b/core/claim/takeover.go
@@ -10,7 +10,7 @@
 	"vanillatally/core/ledger"
 )
 
-// Lost is a process that was removed from the ledger, at the time At on the clock of whoever holds
+// Lost is a process that was removed from the ledger without having left, at the time At on the clock of whoever holds
 // the value; messages carry ages.
 type Lost struct {
 	Holder Holder        `cbor:"holder"`
@@ -43,27 +43,20 @@
 		return h
 	}
 	var lost []Lost
-	explained := uint64(0)
-	for _, m := range l.Members {
-		if m.Incarnation > h.seen.Epoch {
-			explained++
-		}
-	}
-	for _, m := range h.seen.Members {
-		if gone := (Holder{Host: m.Host, Incarnation: m.Incarnation}); !IsMember(l, gone) {
-			lost = append(lost, Lost{Holder: gone, At: now})
+	missed := l.Lost - h.seen.Lost
+	if missed > 0 {
+		// Which of the members that are gone had left is not known, so all of them count as lost.
+		for _, m := range h.seen.Members {
+			if gone := (Holder{Host: m.Host, Incarnation: m.Incarnation}); !IsMember(l, gone) {
+				lost = append(lost, Lost{Holder: gone, At: now})
+			}
 		}
 	}
-	if slices.ContainsFunc(lost, func(x Lost) bool { return Incarnation(l, x.Holder.Host) == 0 }) {
-		explained++
-	}
-	// A process could have joined and gone unseen in epochs that were skipped, unless these are the
-	// joins of present members (incarnations are the epochs of the joins) and one removal.
-	skipped := l.Epoch - h.seen.Epoch
-	switch hidden := skipped > explained; {
+	switch hidden := missed > uint64(len(lost)); {
 	case h.seen.Epoch == 0:
 		h.Complete, h.From = !hidden, now
-	case hidden && skipped > 1:
+	case hidden:
+		// A process joined and was lost in epochs that were skipped.
 		h.Complete, h.From = false, now
 	}
 	h.seen = l
--- a/core/ledger/transitions.go
+++ b/core/ledger/transitions.go
@@ -44,6 +44,7 @@
 	n := l.next()
 	m.Incarnation, m.Leaving, m.Witnesses = n.Epoch, false, nil
 	if i := n.index(m.Host); i >= 0 {
+		n.Lost++
 		m.Witnesses = n.Members[i].Witnesses
 		n.Members[i] = m
 		for s := range n.Slots {
@@ -91,7 +92,7 @@
 			return l, errors.Newf("witness %s has not voted to fence %s", w, o.Host)
 		}
 	}
-	return l.remove(func(m Member) bool { return m.Host == o.Host }), nil
+	return l.lose(func(m Member) bool { return m.Host == o.Host }), nil
 }
 
 // MarkLeaving takes the slots from a member that is about to stop; it remains a member until Leave.
@@ -114,7 +115,7 @@
 
 // RegionDead removes all members of a region. The operator asserts that none of them runs.
 func (l Ledger) RegionDead(region string) Ledger {
-	return l.remove(func(m Member) bool { return m.Region == region })
+	return l.lose(func(m Member) bool { return m.Region == region })
 }
 
 // Forget removes a member that can neither be fenced nor replaced. The operator asserts that it has ended.
@@ -122,7 +123,7 @@
 	if l.index(host) < 0 {
 		return l, ErrNotMember
 	}
-	return l.remove(func(m Member) bool { return m.Host == host }), nil
+	return l.lose(func(m Member) bool { return m.Host == host }), nil
 }
 
 // Acquired clears the earlier holders of the slots that o reports to have started using.
@@ -139,6 +140,13 @@
 	return n, nil
 }
 
+// lose removes members that have not left.
+func (l Ledger) lose(gone func(Member) bool) Ledger {
+	n := l.remove(gone)
+	n.Lost += uint64(len(l.Members) - len(n.Members))
+	return n
+}
+
 func (l Ledger) remove(gone func(Member) bool) Ledger {
 	n := l.next()
 	n.Members = slices.DeleteFunc(n.Members, gone)
--- a/core/ledger/types.go
+++ b/core/ledger/types.go
@@ -50,7 +50,10 @@
 // Ledger is the state at one epoch. It is immutable: changes return a new value.
 type Ledger struct {
 	// Epoch rises by one with every change and is the fencing version.
-	Epoch   uint64          `json:"epoch"`
+	Epoch uint64 `json:"epoch"`
+	// Lost counts the members that were removed without having left: fenced, replaced or declared dead.
+	// What only they remembered is gone. It never falls.
+	Lost    uint64          `json:"lost,omitempty"`
 	Members []Member        `json:"members"`
 	Slots   [SlotCount]Slot `json:"slots"`
 }
--- a/host/budgets/service.go
+++ b/host/budgets/service.go
@@ -45,6 +45,9 @@
 	MaxWait time.Duration
 	// Seed makes loan ids and jitter reproducible; 0 takes a random seed.
 	Seed uint64
+	// MayLeave reports that nothing is lost when this host's entry is removed; nil means always. Without it
+	// within handOver the host stops without leaving, and the others fence it and count it as lost.
+	MayLeave func(ctx context.Context) bool
 	// Log receives rare events; nil discards them.
 	Log *slog.Logger
 }
--- a/host/budgets/stores.go
+++ b/host/budgets/stores.go
@@ -31,8 +31,8 @@
 	// learn of changes from them and from renewals.
 	watchTimeout = 10 * time.Second
 	watchers     = 9
-	// handOver bounds how long a leaving host waits for others to take its slots.
-	handOver = 3 * time.Second
+	// handOver bounds how long a leaving host waits for others to take its slots and claims.
+	handOver = 5 * time.Second
 )
 
 // storeLoop exchanges the ledger with the store when a change is due, and now and then without reason.
@@ -194,7 +194,12 @@
 // The host stops witnessing before it is removed, because its successor counts its silence from then.
 func (s *Service) finishLeaving(ctx context.Context) error {
 	n := s.node
-	for end := s.opts.Clock() + handOver; s.opts.Clock() < end && ctx.Err() == nil && s.awaitedByOthers(); {
+	handedOver := false
+	for end := s.opts.Clock() + handOver; s.opts.Clock() < end && ctx.Err() == nil; {
+		handedOver = s.opts.MayLeave == nil || s.opts.MayLeave(ctx)
+		if handedOver && !s.awaitedByOthers() {
+			break
+		}
 		sleep(ctx, tickEvery)
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		_, _, _ = n.read(callCtx, s.opts.Store, s.opts.Clock)
@@ -204,6 +209,9 @@
 	o := n.owner()
 	n.drop(s.opts.Clock())
 	n.mu.Unlock()
+	if !handedOver {
+		return nil
+	}
 	sleep(ctx, budget.LenderLife)
 	for backoff := firstBackoff; ctx.Err() == nil; backoff = min(lastBackoff, backoff*2) {
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/host/claims/begin.go
+++ b/host/claims/begin.go
@@ -139,6 +139,7 @@
 func (s *Service) report(r report) {
 	select {
 	case s.reports <- r:
+		s.unreported.Add(1)
 	default:
 		s.options.Logger.Warn("too many outcomes of claims wait for their owners", "team", r.Request.Team)
 	}
@@ -196,6 +197,7 @@
 			rest = append(rest, r)
 		}
 	}
+	s.unreported.Add(int64(len(rest) - len(s.pending)))
 	clear(s.pending[len(rest):])
 	s.pending = rest
 }
--- a/host/claims/fleet_test.go
+++ b/host/claims/fleet_test.go
@@ -116,6 +116,8 @@
 			kept = append(kept, m)
 		}
 	}
+	// As in package ledger, a member that is fenced or replaced counts as lost.
+	l.Lost += uint64(len(l.Members) - len(kept))
 	l.Members = kept
 }
 
--- a/host/claims/gather.go
+++ b/host/claims/gather.go
@@ -244,21 +244,23 @@
 	sh.mu.Lock()
 	l := s.options.Ledger.Ledger()
 	seconds := claim.Seconds(l, s.options.Host)
+	if len(seconds) == 0 {
+		sh.mu.Unlock()
+		return true
+	}
 	var batch []claim.Record
 	for _, r := range sh.records {
 		gone := !claim.IsMember(l, r.Copy)
+		leaving := claim.IsLeaving(l, r.Copy) && !claim.IsLeaving(l, seconds[0])
 		if gone && r.Phase == claim.PhaseRunning && r.Copy.Host == r.Arrival.Executor {
 			r.Phase = claim.PhaseUnknown
 			s.put(sh, r)
 		}
-		if r.Phase != claim.PhaseReleased && (gone || r.Copy.Host == s.options.Host) {
+		if r.Phase != claim.PhaseReleased && (gone || leaving || r.Copy.Host == s.options.Host) {
 			batch = append(batch, r)
 		}
 	}
 	sh.mu.Unlock()
-	if len(seconds) == 0 {
-		return true
-	}
 	for len(batch) > 0 {
 		message, size := replicate{Slot: slot, Tenure: tenure}, int64(0)
 		for len(batch) > 0 && len(message.Records) < maxPage && size < maxPageBytes {
@@ -328,18 +330,3 @@
 		s.covered.second, s.covered.last, s.covered.count = seconds[0], last, len(lost)
 	}
 }
-
-// Released says that later owners have taken over all slots that this host owned. A host that leaves
-// waits for it before it stops.
-func (s *Service) Released() bool {
-	for i := range s.shards {
-		sh := &s.shards[i]
-		sh.mu.Lock()
-		kept := sh.tenure != 0 && sh.closedBy == 0
-		sh.mu.Unlock()
-		if kept {
-			return false
-		}
-	}
-	return true
-}
--- a/host/claims/owner.go
+++ b/host/claims/owner.go
@@ -12,6 +12,7 @@
 	kindFinish = "claim-finish"
 	kindCopy   = "claim-copy"
 	kindGather = "claim-gather"
+	kindMoved  = "claim-moved"
 )
 
 type begin struct {
--- a/host/claims/service.go
+++ b/host/claims/service.go
@@ -77,8 +77,10 @@
 		count  int
 	}
 	reports chan report
-	pending []report // only the loop of reports uses it
-	done    chan struct{}
+	// unreported counts the outcomes in reports and pending.
+	unreported atomic.Int64
+	pending    []report // only the loop of reports uses it
+	done       chan struct{}
 }
 
 // maxCovers bounds the statements about copies. A statement beyond it is refused, which only makes a
@@ -137,6 +139,7 @@
 	peers.Handle(options.Peers, kindFinish, s.handleFinish)
 	peers.Handle(options.Peers, kindCopy, s.handleCopy)
 	peers.Handle(options.Peers, kindGather, s.handleGather)
+	peers.Handle(options.Peers, kindMoved, s.handleMoved)
 	return s
 }
 
@@ -154,6 +157,7 @@
 	group.Go(func() error {
 		return s.every(groupCtx, func(ctx context.Context, round int) {
 			s.repair(ctx)
+			s.moveCopies(ctx)
 			s.expire(round % ledger.SlotCount)
 		})
 	})
--- /dev/null
+++ b/host/claims_process_test.go
@@ -0,0 +1,48 @@
+package host_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"vanillatally/io/backends"
+)
+
+// Guards against a hold that runs twice when the host that runs it is killed and the caller sends it again.
+func TestHoldRunsOnceWhenItsHostIsKilled(t *testing.T) {
+	f := newFleet(t, 3, 2)
+	for _, s := range f.servers {
+		if err := s.SetFaults(backends.Fault{Kind: backends.FaultSlow, LatencyMS: 300}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	client := f.caller()
+	group := &errgroup.Group{}
+	for i := range 24 {
+		group.Go(func() error {
+			ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+			defer cancel()
+			// The answer may be a refusal; only the number of runs matters here.
+			_, _ = client.Do(ctx, hold(fmt.Sprintf("killed-%d", i)))
+			return nil
+		})
+	}
+	f.wait("holds to run", func(context.Context) error {
+		for _, s := range f.servers {
+			if len(s.Runs()) > 0 {
+				return nil
+			}
+		}
+		return fmt.Errorf("none runs")
+	})
+	_ = f.hosts[0].command.Process.Kill()
+	_ = group.Wait()
+	for i := range 24 {
+		if key := fmt.Sprintf("killed-%d", i); f.runs(key) > 1 {
+			t.Errorf("hold %s ran %d times", key, f.runs(key))
+		}
+	}
+}
--- a/host/host.go
+++ b/host/host.go
@@ -13,10 +13,13 @@
 	"github.com/fxamacker/cbor/v2"
 	"golang.org/x/sync/errgroup"
 
+	"vanillatally/core/config"
 	"vanillatally/core/membership"
 	"vanillatally/core/quarantine"
 	"vanillatally/host/budgets"
+	"vanillatally/host/claims"
 	"vanillatally/host/configs"
+	"vanillatally/host/lookup"
 	"vanillatally/host/members"
 	"vanillatally/host/request"
 	"vanillatally/io/callers"
@@ -46,6 +49,8 @@
 	servers  *servers
 	budgets  *budgets.Service
 	links    linkNames
+	claims   *claims.Service
+	lookups  *lookup.Service
 	requests *request.Service
 	callers  *callers.Server
 
@@ -81,11 +86,21 @@
 		Host: s.Host, Region: s.Region, FailureDomain: s.FailureDomain,
 		Store: objects, Caller: h.node, Table: table, Seeds: slices.Sorted(maps.Keys(s.Seeds)),
 		Broadcast: h.members.Broadcast, Clock: h.now, MaxWait: time.Duration(s.Limits.BudgetWait), Log: log.Logger(),
+		MayLeave: func(ctx context.Context) bool { return h.claims.HandedOver(ctx) },
 	})
 	h.configs.Subscribe(h.applyLimits)
+	h.claims = claims.New(claims.Options{
+		Host: s.Host, Ledger: h.budgets, Caller: h.node, Peers: table, Now: h.now, Logger: log.Logger(),
+	})
+	h.lookups = lookup.New(lookup.Options{
+		Self:    membership.Member{Host: s.Host, Region: s.Region, FailureDomain: s.FailureDomain, CallerAddress: s.CallerAddress},
+		Members: h.members.Members, Configuration: h.configs.Current, BackendServers: h.servers.get,
+		ShareHolders: h.shareHolders, Now: h.now, TTL: time.Duration(s.Limits.LookupTTL),
+	})
+	h.configs.Subscribe(func(*config.Configuration) { h.lookups.Notify() })
 	h.requests = h.newRequests(table)
 	h.callers = callers.New(callers.Options{
-		Requests: h.requests, Lookup: http.HandlerFunc(h.lookup),
+		Requests: h.requests, Lookup: h.lookups.Handler(),
 		DrainNotice: h.drainNotice(), Logger: log.Logger(),
 	})
 	h.registerGauges()
@@ -130,13 +145,14 @@
 	for _, m := range changed {
 		h.log.Emit(events.MemberChanged, "member", m.Host, "state", m.State, "incarnation", m.Incarnation)
 	}
+	h.lookups.Notify()
 }
 
 func (h *Host) newRequests(table *peers.Table) *request.Service {
 	requests := request.New(request.Options{
 		Host: h.settings.Host, Region: h.settings.Region, FailureDomain: h.settings.FailureDomain,
 		Configuration: h.configs.Current, Fresh: h.configs.Fresh, BackendServers: h.servers.get,
-		Admitter: h.budgets, Link: h.admitLink, Notify: h.notifyQuarantine, Hook: h.hook,
+		Admitter: h.budgets, Claims: h.claims, Link: h.admitLink, Notify: h.notifyQuarantine, Hook: h.hook,
 	})
 	peers.Handle(table, quarantineKind, func(_ context.Context, _ string, notice quarantine.Notice) (struct{}, error) {
 		requests.HandleNotice(notice)
@@ -201,7 +217,10 @@
 	for i, server := range []*http.Server{peerServer, operatorServer} {
 		group.Go(func() error { return serve(server, listeners[i]) })
 	}
-	for _, run := range []func(context.Context) error{h.servers.run, h.members.Run, h.configs.Run, h.budgets.Run, h.requests.Run} {
+	runs := []func(context.Context) error{
+		h.servers.run, h.members.Run, h.configs.Run, h.budgets.Run, h.claims.Run, h.lookups.Run, h.requests.Run,
+	}
+	for _, run := range runs {
 		group.Go(func() error { return run(parts) })
 	}
 	h.callers.Start(listeners[2])
--- a/host/limits.go
+++ b/host/limits.go
@@ -1,6 +1,8 @@
 package host
 
 import (
+	"math/bits"
+	"slices"
 	"sync/atomic"
 
 	"vanillatally/core/budget"
@@ -51,3 +53,25 @@
 	}
 	set(table)
 }
+
+// shareHolders names the hosts that hold shares of a team's rate, so that look-ups lead its callers there.
+func (h *Host) shareHolders(team string) []string {
+	current := h.configs.Current()
+	if current == nil {
+		return nil
+	}
+	effective, ok := current.EffectiveTeam(team)
+	if !ok {
+		return nil
+	}
+	slots := budget.Limits{Rate: effective.Rate, Burst: effective.Burst}.Slots(team)
+	assigned := h.budgets.Ledger().Slots
+	var holders []string
+	for ; slots != 0; slots &= slots - 1 {
+		holder := assigned[bits.TrailingZeros64(slots)].Holder
+		if holder != "" && !slices.Contains(holders, holder) {
+			holders = append(holders, holder)
+		}
+	}
+	return holders
+}
--- a/host/lookup/handler.go
+++ b/host/lookup/handler.go
@@ -63,8 +63,8 @@
 )
 
 const (
-	// ttl is the time to live of answers before the jitter.
-	ttl = 5 * time.Second
+	// defaultTTL is the time to live of answers before the jitter.
+	defaultTTL = 5 * time.Second
 	// hostsPerSite limits the hosts that an answer names of one site, so that it also names other sites.
 	hostsPerSite = 2
 	// maxQueryBytes limits the query, which is refused beyond.
@@ -113,7 +113,7 @@
 		return
 	}
 	buffer := buffers.Get().(*[]byte)
-	*buffer = v.append((*buffer)[:0], route, &ranking, key, holders, jitter(key, s.options.Now(), ttl))
+	*buffer = v.append((*buffer)[:0], route, &ranking, key, holders, jitter(key, s.options.Now(), s.options.TTL))
 	h := w.Header()
 	h["Content-Type"] = contentType
 	h["Cache-Control"] = noStore
--- a/host/lookup/service.go
+++ b/host/lookup/service.go
@@ -36,6 +36,8 @@
 	Shifts func(service string) []Shift
 	// Now is the monotonic time since the process started; nil means the clock.
 	Now func() time.Duration
+	// TTL is the time to live of answers before the jitter; 0 means 5 s.
+	TTL time.Duration
 	// Refresh is the longest time between two updates of the index; 0 means 1 s.
 	Refresh time.Duration
 }
@@ -65,6 +67,9 @@
 		start := time.Now()
 		options.Now = func() time.Duration { return time.Since(start) }
 	}
+	if options.TTL <= 0 {
+		options.TTL = defaultTTL
+	}
 	if options.Refresh <= 0 {
 		options.Refresh = time.Second
 	}
--- a/host/request/forward.go
+++ b/host/request/forward.go
@@ -6,8 +6,10 @@
 	"strconv"
 	"time"
 
+	"vanillatally/core/budget"
 	"vanillatally/core/rollout"
 	"vanillatally/io/backends"
+	"vanillatally/io/callers"
 )
 
 const (
@@ -43,6 +45,11 @@
 	if err != nil {
 		return err
 	}
+	if x.claimed != nil && !x.service.options.Claims.Valid(*x.claimed) {
+		x.leaveServer()
+		return callers.Refuse(http.StatusServiceUnavailable, string(budget.ReasonLease), "this host lost the right to run the request").
+			WithRetryAfter(retryLater)
+	}
 	now = time.Now()
 	response, failure := x.service.client.Do(x.context, x.server.Address, attempt)
 	latency := time.Since(now)
--- a/host/request/local.go
+++ b/host/request/local.go
@@ -138,6 +138,9 @@
 	return claim.Answer{State: claim.Granted}, nil
 }
 
+// Valid always holds: this host alone decides.
+func (l *LocalClaims) Valid(claim.Request) bool { return true }
+
 // Finish records the outcome.
 func (l *LocalClaims) Finish(_ context.Context, req claim.Request, res claim.Result) error {
 	l.mu.Lock()
--- a/host/request/mechanisms.go
+++ b/host/request/mechanisms.go
@@ -25,6 +25,9 @@
 type Claims interface {
 	// Begin asks for the right to run req; only the answer claim.Granted gives it.
 	Begin(ctx context.Context, req claim.Request) (claim.Answer, error)
+	// Valid reports whether a granted request may still be sent; it is asked just before the sending, because
+	// the host may have been paused since Begin.
+	Valid(req claim.Request) bool
 	// Finish records what became of a granted request.
 	Finish(ctx context.Context, req claim.Request, res claim.Result) error
 }
--- a/io/hosts/client.go
+++ b/io/hosts/client.go
@@ -28,7 +28,7 @@
 
 // Host is one entry of a look-up answer, best first.
 type Host struct {
-	ID            string `json:"id"`
+	ID            string `json:"host"`
 	Address       string `json:"address"`
 	Region        string `json:"region"`
 	FailureDomain string `json:"failure-domain"`
@@ -39,7 +39,7 @@
 	Hosts []Host `json:"hosts"`
 	// TTLMS is how long the answer may be kept, in milliseconds.
 	TTLMS    int64  `json:"ttl-ms"`
-	Sequence uint64 `json:"sequence"`
+	Sequence uint64 `json:"configuration-sequence"`
 }
 
 // Refusal is the body of a refused request.
