--- a/core/steering/feedback.go
+++ b/core/steering/feedback.go
@@ -18,6 +18,10 @@
 	Forget time.Duration
 }
 
+// PlanLimit is the part of a site's capacity that plans use. It lies below the feedback's limit, because a plan cannot
+// correct the spread of the clients' hashes after a loss.
+const PlanLimit = 0.9
+
 // DefaultFeedback suits answers that live 5 s ± 20% and load reports that lag by up to 2 s.
 var DefaultFeedback = FeedbackOptions{
 	Limit: 0.95, Settle: 8 * time.Second, Readmit: 5 * time.Second, MaxReadmit: 5 * time.Minute, Forget: 15 * time.Minute,
@@ -27,6 +31,8 @@
 type Feedback struct {
 	options FeedbackOptions
 	sites   []siteState
+	// changed is the last time at which a site was lost or returned; initially long ago.
+	changed time.Duration
 }
 
 type siteState struct {
@@ -37,7 +43,13 @@
 }
 
 // NewFeedback returns the control loop in its initial state.
-func NewFeedback(options FeedbackOptions) Feedback { return Feedback{options: options} }
+func NewFeedback(options FeedbackOptions) Feedback {
+	return Feedback{options: options, changed: -options.Settle}
+}
+
+// raiseBelow is the part of the limit below which a site gets clients back. Without the distance a site near its limit
+// moved a few clients away and back with each step.
+const raiseBelow = 0.9
 
 // firstShare is the part of its own clients that a site gets back first after a loss; its cache is cold.
 const firstShare = 0.25
@@ -45,7 +57,7 @@
 // Step lowers Admit at sites above their limit, raises it where there is room, and readmits returned sites in steps.
 // Lowering moves only the site's own clients, and raising only brings them back. loads counts cached answers.
 func (f Feedback) Step(now time.Duration, s *Snapshot, loads []float64) (Feedback, *Snapshot) {
-	next := Feedback{options: f.options, sites: slices.Grow(slices.Clone(f.sites), len(s.sites))[:max(len(f.sites), len(s.sites))]}
+	next := Feedback{options: f.options, changed: f.changed, sites: slices.Grow(slices.Clone(f.sites), len(s.sites))[:max(len(f.sites), len(s.sites))]}
 	sites := s.Sites()
 	changed := false
 	for id := range sites {
@@ -53,7 +65,11 @@
 		if id < len(loads) {
 			load = loads[id]
 		}
+		wasLost := next.sites[id].lost
 		admit := next.sites[id].step(now, f.options, sites[id], load)
+		if wasLost != next.sites[id].lost {
+			next.changed = now
+		}
 		changed = changed || admit != sites[id].Admit
 		sites[id].Admit = admit
 	}
@@ -63,6 +79,10 @@
 	return next, s.WithSites(sites)
 }
 
+// Settled reports whether loads measured now show the last loss or return fully. Plan must not use earlier ones: they
+// lack the lost sites' clients and would promise room that these are about to fill.
+func (f Feedback) Settled(now time.Duration) bool { return now-f.changed >= f.options.Settle }
+
 func (st *siteState) step(now time.Duration, o FeedbackOptions, site Site, load float64) float64 {
 	room := o.Limit * site.Capacity * site.Health
 	switch {
@@ -85,7 +105,7 @@
 	case load > room && site.Admit > 0:
 		st.until = now + o.Settle
 		return site.Admit * room / load
-	case site.Admit < 1 && load < room:
+	case site.Admit < 1 && load < raiseBelow*room:
 		st.until = now + o.Settle
 		// Doubling at most, and never beyond what the measured load says the limit allows.
 		factor := 2.0
--- a/core/steering/plan.go
+++ b/core/steering/plan.go
@@ -6,8 +6,8 @@
 // more sends more clients to the others.
 const planRounds = 12
 
-// Plan returns a snapshot with each site's Headroom set, so that the loss of any one failure domain or any one
-// region brings no site above limit × Capacity. It works ahead of the loss, because answers that callers have cached
+// Plan returns a snapshot with each site's Headroom set, so that the loss of any one more failure domain or region
+// brings no site above limit × Capacity. It works ahead of the loss, because answers that callers have cached
 // name the next sites already, and measurements after a loss come too late.
 //
 // loads is the measured load of each site, with cached answers counted for their whole time to live.
@@ -22,7 +22,7 @@
 		change := 0.0
 		for id, site := range s.sites {
 			share := 1.0
-			room := limit*site.Capacity*site.Health - p.load(id)
+			room := limit*site.Capacity*site.Health - p.own[id]
 			if worst := p.worst[id]; room < worst {
 				share = max(0, room/worst)
 			}
@@ -34,28 +34,43 @@
 		}
 	}
 	sites := s.Sites()
-	for id := range sites {
-		sites[id].Headroom = spare[id]
+	for id, share := range spare {
+		// A raise moves clients that other sites refused, so it waits until it is worth it.
+		if old := sites[id].Headroom; share < old || share > old+raiseHeadroom || share == 1 {
+			sites[id].Headroom = share
+		}
 	}
-	return s.WithSites(sites)
+	next := s.WithSites(sites)
+	next.demand = p.demand
+	return next
 }
 
+// raiseHeadroom is the smallest raise of a site's Headroom.
+const raiseHeadroom = 0.1
+
 // plan holds the load that each loss would bring to each site.
 type plan struct {
-	s     *Snapshot
-	loads []float64
-	// demand is the estimated load of each location.
+	s *Snapshot
+	// own is the estimated load of each site by its own clients, demand that of each location.
+	own    []float64
 	demand []float64
 	// domains numbers the failure domains; losses are the domains first, then the regions.
 	domains []int
 	losses  int
-	// flow[loss*sites+site] is the load that tries the site after the loss; worst is its maximum per site.
-	flow  []float64
-	worst []float64
+	// base is the load that tries each site because of the sites that are lost now. flow[loss*sites+site] is what a
+	// loss adds, and worst is base with the largest addition.
+	base, flow, worst []float64
 }
 
+// now stands for no further loss than the sites that are lost now.
+const now = -1
+
 func newPlan(s *Snapshot, loads []float64) *plan {
-	p := &plan{s: s, loads: loads, demand: make([]float64, len(s.locations)), worst: make([]float64, len(s.sites))}
+	p := &plan{
+		s: s, own: make([]float64, len(s.sites)), demand: s.demand,
+		base: make([]float64, len(s.sites)), worst: make([]float64, len(s.sites)),
+	}
+	copy(p.own, loads)
 	numbers := map[[2]string]int{}
 	for _, site := range s.sites {
 		name := [2]string{site.Region, site.FailureDomain}
@@ -70,26 +85,41 @@
 	return p
 }
 
-func (p *plan) load(id int) float64 {
-	if id < len(p.loads) {
-		return p.loads[id]
-	}
-	return 0
-}
-
-// fit estimates each location's load: its own estimate, scaled by the loads measured at its sites.
+// fit estimates the sites' own loads and each location's load. A location's load is its own estimate, scaled by the
+// loads at its first sites; while most of those are lost, the last plan's value stays.
 func (p *plan) fit() {
+	if len(p.demand) == len(p.s.locations) {
+		spare := make([]float64, len(p.s.sites))
+		for id, site := range p.s.sites {
+			spare[id] = site.Headroom
+		}
+		for i := range p.s.locations {
+			p.spread(i, now, spare, func(id SiteID, visits float64) { p.own[id] = max(0, p.own[id]-visits*spare[id]) })
+		}
+	}
 	expected := make([]float64, len(p.s.sites))
 	for i := range p.s.locations {
 		p.shares(i, func(id SiteID, share float64) { expected[id] += share * float64(p.s.locations[i].clients) })
 	}
+	demand := make([]float64, len(p.s.locations))
 	for i := range p.s.locations {
+		clients, ratio, seen := float64(p.s.locations[i].clients), 0.0, 0.0
 		p.shares(i, func(id SiteID, share float64) {
-			if expected[id] > 0 {
-				p.demand[i] += float64(p.s.locations[i].clients) * share * p.load(int(id)) / expected[id]
+			if site := p.s.sites[id]; expected[id] > 0 && site.Health > 0 && site.Admit > 0 {
+				ratio += share * p.own[id] / expected[id] / site.Admit
+				seen += share
 			}
 		})
+		switch {
+		case seen >= 0.2:
+			demand[i] = clients * ratio / seen
+		case i < len(p.demand):
+			demand[i] = p.demand[i]
+		default:
+			demand[i] = clients
+		}
 	}
+	p.demand = demand
 }
 
 // shares calls fn with the part of a location's clients whose own site each first-tier site is.
@@ -99,14 +129,11 @@
 	}
 }
 
-// visits fills flow and worst for the given shares that sites take of other sites' clients.
+// visits fills base, flow and worst for the given shares that sites take of other sites' clients.
 func (p *plan) visits(spare []float64) {
+	clear(p.base)
 	clear(p.flow)
-	clear(p.worst)
 	for i := range p.s.locations {
-		if p.demand[i] == 0 {
-			continue
-		}
 		var done [2 * MaxTierSites]int
 		losses := done[:0]
 		p.shares(i, func(id SiteID, _ float64) {
@@ -116,13 +143,20 @@
 				}
 			}
 		})
+		p.spread(i, now, spare, func(id SiteID, visits float64) {
+			p.base[id] += visits
+			for _, loss := range losses {
+				p.flow[loss*len(p.worst)+int(id)] -= visits
+			}
+		})
 		for _, loss := range losses {
-			p.spread(i, loss, spare)
+			p.spread(i, loss, spare, func(id SiteID, visits float64) { p.flow[loss*len(p.worst)+int(id)] += visits })
 		}
 	}
+	copy(p.worst, p.base)
 	for loss := range p.losses {
 		for id := range p.worst {
-			p.worst[id] = max(p.worst[id], p.flow[loss*len(p.worst)+id])
+			p.worst[id] = max(p.worst[id], p.base[id]+p.flow[loss*len(p.worst)+id])
 		}
 	}
 }
@@ -136,30 +170,33 @@
 	return false
 }
 
-// hit reports whether the loss takes the site.
+// hit reports whether the site is lost now or by the loss.
 func (p *plan) hit(loss int, id SiteID) bool {
-	return p.domains[id] == loss || p.losses-len(p.s.regions)+int(p.s.seats[id].region) == loss
+	return p.s.sites[id].Health <= 0 || p.domains[id] == loss || p.losses-len(p.s.regions)+int(p.s.seats[id].region) == loss
 }
 
-// spread adds the load that leaves the location's lost first-tier sites to the sites that it tries next.
-func (p *plan) spread(i, loss int, spare []float64) {
+// spread calls visit with the load of the location's lost first-tier sites that tries each other site.
+func (p *plan) spread(i, loss int, spare []float64, visit func(SiteID, float64)) {
 	moving := 0.0
 	p.shares(i, func(id SiteID, share float64) {
 		if p.hit(loss, id) {
 			moving += share * p.demand[i]
 		}
 	})
+	if moving < 1e-9 {
+		return
+	}
 	l := &p.s.locations[i]
 	for t := range l.tiers() {
 		var tier tierLoad
 		for _, id := range l.tier(t) {
-			if c := p.s.sites[id].Capacity; c > 0 && !p.hit(loss, id) && p.s.sites[id].Health > 0 {
+			if c := p.s.sites[id].Capacity; c > 0 && !p.hit(loss, id) {
 				tier.add(id, c, spare[id])
 			}
 		}
 		visits, left := tier.visits()
 		for k, id := range tier.ids[:tier.n] {
-			p.flow[loss*len(p.worst)+int(id)] += moving * visits[k]
+			visit(id, moving*visits[k])
 		}
 		if moving *= left; moving < 1e-9 {
 			return
--- a/core/steering/snapshot.go
+++ b/core/steering/snapshot.go
@@ -21,6 +21,8 @@
 	locations []location
 	// nears holds the precomputed first tier of each location.
 	nears []*near
+	// demand is the load of each location as the last Plan estimated it, or nil.
+	demand []float64
 	// regions maps region numbers, as seats hold them, to names.
 	regions []string
 }
--- a/host/lookup/view.go
+++ b/host/lookup/view.go
@@ -244,7 +244,9 @@
 		loads[i] = measured[site.Name]
 	}
 	next.feedback, next.snapshot = next.feedback.Step(in.now, next.snapshot, loads)
-	next.snapshot = next.snapshot.Plan(loads, feedback.Limit)
+	if next.feedback.Settled(in.now) {
+		next.snapshot = next.snapshot.Plan(loads, steering.PlanLimit)
+	}
 	return next, nil
 }
 
