Decide rollouts and shifts by sequential evidence

Cause: a fixed error threshold rolls back good versions on a cold start or one bad machine, and a shift by clock alone meets cold caches and full links.

--- /dev/null
+++ b/core/shift/shift.go
@@ -0,0 +1,288 @@
+// Package shift decides how a planned share of traffic moves between two regions or backend servers.
+package shift
+
+import (
+	"fmt"
+	"time"
+
+	"vanillatally/core/config"
+	"vanillatally/core/rollout"
+)
+
+// Phase is where a shift stands.
+type Phase string
+
+// The phases of a shift.
+const (
+	// Moving: the share rises to the target.
+	Moving Phase = "moving"
+	// Blocked: the receiver is not usable, and nothing is sent there.
+	Blocked Phase = "blocked"
+	// Done: the target share is moved and settled.
+	Done Phase = "done"
+	// Reverted: nothing is moved.
+	Reverted Phase = "reverted"
+)
+
+// Over tells whether no further step follows.
+func (p Phase) Over() bool { return p == Done || p == Reverted }
+
+const (
+	// AnswerLife is the longest time for which a caller uses a cached look-up answer: 5 s and 20% of jitter.
+	AnswerLife = 6 * time.Second
+	// lag is the time after which a measurement shows what happened before.
+	lag = 2 * time.Second
+	// settled is the least time between two steps: only then does a measurement show the whole of the first one.
+	settled = AnswerLife + lag
+	// maxSteps gives a first step of 1/32 of the share: each step doubles what is moved, so that the receiver's caches
+	// see at most as much new traffic as they have warmed to.
+	maxSteps = 6
+	// planned is the part of the time to the deadline that the steps take when nothing holds them.
+	planned = 0.5
+	// fullness is the use up to which a shift fills a region or a link; the rest is headroom for failures.
+	fullness = 0.85
+	// minJudged is the requests at the receiver that show whether it is warm, warmSlow the share of slow ones that it
+	// may have more than the sender.
+	minJudged = 20
+	warmSlow  = 0.1
+	// window is the least time of one look at the receiver's warmth.
+	window = 2 * time.Second
+	// sparse is the time after a step at which fewer requests than minJudged no longer hold the next one: so little
+	// traffic does not load a cold receiver, and it at most doubles.
+	sparse = settled + settled/4
+	// maxRetreats bounds how often a shift halves its share on bad evidence before it is reverted.
+	maxRetreats = 2
+)
+
+// Plan is the schedule of a shift.
+type Plan struct {
+	// Target is at most Cap.
+	Target, Cap float64
+	Within      time.Duration
+	// Steps is the number of doublings to the target.
+	Steps int
+}
+
+// Fastest is the time that the schedule takes when nothing holds a step.
+func (p Plan) Fastest() time.Duration { return time.Duration(p.Steps) * settled }
+
+// NewPlan returns the schedule for an operator's shift.
+func NewPlan(s config.Shift) Plan {
+	within := time.Duration(s.Within)
+	fit := int(planned * float64(within) / float64(settled))
+	return Plan{Target: min(s.Share, s.Cap), Cap: s.Cap, Within: within, Steps: min(max(fit, 1), maxSteps)}
+}
+
+// first is the share of the first step.
+func (p Plan) first() float64 { return p.Target / float64(int(1)<<(p.Steps-1)) }
+
+// Load is the use of a place or link.
+type Load struct {
+	// Use is the part of the capacity in use, PerShare the part that all of the shifted traffic would use.
+	Use, PerShare float64
+	// Known is false when the measurement stopped.
+	Known bool
+}
+
+// Measurement is what the driver knows at one moment.
+type Measurement struct {
+	// Batch compares the sender (Old) with the receiver (New) since the last one; nil when none arrived.
+	Batch rollout.Batch
+	// Complete is set when every live host has reported lately.
+	Complete bool
+	// To and Link are the loads of the receiver and of the link to it; an absent link is known and without use.
+	To, Link Load
+	// Dead is set when the receiver is not usable.
+	Dead bool
+	// Behind is set while another shift to the same receiver goes first, so that both do not fill the same headroom.
+	Behind bool
+	// Cancelled is set when the operator cancelled the shift.
+	Cancelled bool
+	// Vetoed holds a host's reason to lower the share, or is empty.
+	Vetoed string
+}
+
+// State is a shift at one moment. It is immutable: Next returns a new value.
+type State struct {
+	Plan  Plan
+	Phase Phase
+	// Moved is the share in force; it is at most Plan.Target.
+	Moved float64
+	// Started and StepAt are times of the driver's monotonic clock.
+	Started, StepAt time.Duration
+	// Retreats counts the steps back on bad evidence.
+	Retreats int
+	// Warmth is what the receiver's latency told since the step.
+	Warmth Warmth
+	Judge  rollout.Judge
+	Reason string
+}
+
+// Warmth compares the latency of receiver and sender in windows, since what was cold at first must not count later.
+type Warmth struct {
+	// Old and New count the requests at sender and receiver in the window that began at Since, 0 for none.
+	Old, New rollout.Counts
+	Since    time.Duration
+	// Warm is the result of the last full window after the step.
+	Warm bool
+}
+
+// Decision is what the driver does next. A raise is recorded before it is in force; a lowering is in force at once.
+type Decision string
+
+// The decisions about a shift.
+const (
+	Hold   Decision = "hold"
+	Raise  Decision = "raise"
+	Lower  Decision = "lower"
+	Finish Decision = "finish"
+	Revert Decision = "revert"
+)
+
+// New returns the shift before its first step.
+func New(now time.Duration, plan Plan) State {
+	return State{
+		Plan: plan, Phase: Moving, Started: now, StepAt: now - settled, Reason: "started",
+		Judge: rollout.NewJudge(int(plan.Within/rollout.BatchEvery), 1),
+	}
+}
+
+// Resume returns the shift as a successor of its driver goes on with it: at the recorded share, elapsed after the
+// start. The step's time starts again, since the successor has not seen what is cached.
+func Resume(now time.Duration, plan Plan, moved float64, retreats int, elapsed time.Duration) State {
+	s := New(now, plan)
+	s.Moved, s.Retreats, s.Started, s.StepAt = min(moved, plan.Target), retreats, now-elapsed, now
+	s.Reason = "resumed by a new driver"
+	return s
+}
+
+// Next returns the shift after a measurement, and the decision that led there.
+func (s State) Next(now time.Duration, m Measurement) (State, Decision) {
+	if s.Phase.Over() {
+		return s, Hold
+	}
+	if m.Cancelled {
+		return s.lower(now, 0, Reverted, "cancelled by the operator"), Revert
+	}
+	if m.Batch != nil {
+		s = s.add(now, m.Batch)
+	}
+	if now-s.Started >= s.Plan.Within {
+		return s.lower(now, 0, Reverted, "deadline reached before the target share: "+s.Reason), Revert
+	}
+	if m.Dead {
+		if s.Phase == Blocked {
+			return s, Hold
+		}
+		return s.lower(now, 0, Blocked, "receiver failed; its traffic went back"), Lower
+	}
+	if reason, bad := s.bad(m); bad {
+		if s.Moved == 0 {
+			s.Reason = "holds: " + reason
+			return s, Hold
+		}
+		if s.Retreats++; s.Retreats > maxRetreats {
+			return s.lower(now, 0, Reverted, reason), Revert
+		}
+		return s.lower(now, s.Moved/2, Moving, reason), Lower
+	}
+	if overloaded(m) && s.Moved > 0 && now-s.StepAt >= settled {
+		return s.lower(now, s.Moved/2, Moving, "receiver or link is over its capacity"), Lower
+	}
+	if reason := s.holds(now, m); reason != "" {
+		s.Reason = reason
+		return s, Hold
+	}
+	if s.Moved >= s.Plan.Target {
+		s.Phase, s.Reason = Done, "target share moved and settled"
+		return s, Finish
+	}
+	next := s.next(m)
+	if next <= s.Moved {
+		s.Reason = "holds: no headroom at the receiver or on its link"
+		return s, Hold
+	}
+	s.Phase, s.Moved, s.StepAt, s.Warmth = Moving, next, now, Warmth{Since: now}
+	s.Reason = fmt.Sprintf("raised to %.4g of %.4g", next, s.Plan.Target)
+	return s, Raise
+}
+
+// bad tells whether the evidence shows that the receiver fails more, or a host saw it.
+func (s State) bad(m Measurement) (string, bool) {
+	if m.Vetoed != "" {
+		return "vetoed: " + m.Vetoed, true
+	}
+	return s.Judge.Bad()
+}
+
+// overloaded tells whether the receiver or the link to it is over its capacity.
+func overloaded(m Measurement) bool {
+	return m.To.Known && m.To.Use > 1 || m.Link.Known && m.Link.Use > 1
+}
+
+// add counts a batch. Latency is no evidence of a fault, since cold caches are expected; it only delays the next step.
+func (s State) add(now time.Duration, batch rollout.Batch) State {
+	errorsOnly := make(rollout.Batch, len(batch))
+	for route, counts := range batch {
+		kept := rollout.RouteCounts{Old: counts.Old, New: make(map[uint8]rollout.Counts, len(counts.New))}
+		for machine, c := range counts.New {
+			kept.New[machine] = rollout.Counts{N: c.N, Failed: c.Failed}
+			s.Warmth.New = s.Warmth.New.Plus(c)
+		}
+		s.Warmth.Old = s.Warmth.Old.Plus(counts.Old)
+		errorsOnly[route] = kept
+	}
+	s.Warmth = s.Warmth.look(now)
+	s.Judge = s.Judge.Add(errorsOnly, rollout.Size{Failures: rollout.BadFailures, Slow: rollout.BadSlow})
+	return s
+}
+
+// look ends the window when it is full.
+func (w Warmth) look(now time.Duration) Warmth {
+	if w.New.Timed < minJudged || now-w.Since < window {
+		return w
+	}
+	slow := float64(w.New.Slow) / float64(w.New.Timed)
+	return Warmth{Since: now, Warm: slow <= float64(w.Old.Slow)/float64(max(w.Old.Timed, 1))+warmSlow}
+}
+
+// holds returns why the next step has to wait, or nothing.
+func (s State) holds(now time.Duration, m Measurement) string {
+	switch {
+	case now-s.StepAt < settled:
+		return "holds: cached look-up answers and measurements lag behind the last step"
+	case !m.Complete || m.Batch == nil:
+		return "holds: measurements of live hosts are missing"
+	case !m.To.Known || !m.Link.Known:
+		return "holds: the receiver's or the link's load is not known"
+	case m.Behind:
+		return "holds: another shift to the same receiver goes first"
+	case s.Moved > 0 && !s.isWarm(now):
+		return "holds: the receiver's caches are not warm yet"
+	}
+	return ""
+}
+
+// isWarm tells whether the receiver answers about as fast as the sender.
+func (s State) isWarm(now time.Duration) bool {
+	return s.Warmth.Warm || now-s.StepAt >= sparse && s.Warmth.New.Timed < minJudged && s.Warmth.Since == s.StepAt
+}
+
+// next returns the share of the next step: twice the last one, as far as the target and the headroom go.
+func (s State) next(m Measurement) float64 {
+	share := max(2*s.Moved, s.Plan.first())
+	for _, load := range []Load{m.To, m.Link} {
+		if load.PerShare > 0 {
+			share = min(share, s.Moved+(fullness-load.Use)/load.PerShare)
+		}
+	}
+	return min(share, s.Plan.Target)
+}
+
+func (s State) lower(now time.Duration, share float64, phase Phase, reason string) State {
+	s.Moved, s.Phase, s.StepAt, s.Reason = share, phase, now, reason
+	s.Warmth = Warmth{Since: now}
+	// The next evidence is about the lower share.
+	s.Judge = rollout.NewJudge(int(s.Plan.Within/rollout.BatchEvery), 1)
+	return s
+}
