Test the budgets driver with store, peers and faults in simulated time

The histories drive the state machine directly, so nothing covered the loops around it: joining, waiting for loans, leaving, stopping. The test runs whole services over the in-memory store and network in synctest bubbles; a bubble also fails when a goroutine is left behind.

--- a/host/budgets/node_loans.go
+++ b/host/budgets/node_loans.go
@@ -144,7 +144,7 @@
 			asked++
 		}
 	}
-	c.scarce = asked == 0 && total < c.unit && have < c.unit
+	c.scarce = asked == 0 && have+total < c.unit
 }
 
 // loanAsked lends what this host can spare and takes note of closed loans.
--- /dev/null
+++ b/host/budgets/service_test.go
@@ -0,0 +1,172 @@
+package budgets
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"vanillatally/core/budget"
+	"vanillatally/core/ledger"
+	"vanillatally/io/peers"
+	"vanillatally/io/store"
+)
+
+// services is a fleet of running services in one synctest bubble.
+type services struct {
+	store *store.Memory
+	net   *peers.Network
+	all   map[string]*Service
+	stop  map[string]func()
+	g     errgroup.Group
+}
+
+func startServices(hosts ...string) *services {
+	f := &services{store: store.NewMemory(0, 0), net: peers.NewNetwork(), all: map[string]*Service{}, stop: map[string]func(){}}
+	f.net.SetDelay(time.Millisecond)
+	for _, id := range hosts {
+		f.start(id)
+	}
+	time.Sleep(3 * time.Second)
+	return f
+}
+
+func (f *services) start(id string) {
+	table := peers.NewTable()
+	teams, _ := budget.NewTable(map[string]budget.Limits{"team": {Rate: 100, Burst: 50}, "small": {Rate: 2, Burst: 3}})
+	links, _ := budget.NewTable(map[string]budget.Limits{"x>y": {Rate: 1e6, Burst: 1e6}})
+	s := New(Options{
+		Host: id, Store: f.store, Caller: f.net.Join(id, table), Table: table, Seeds: []string{"a"},
+		MaxWait: 200 * time.Millisecond, Seed: 7,
+	}).WithTeams(teams)
+	s.SetLinks(links)
+	ctx, cancel := context.WithCancel(context.Background())
+	f.all[id] = s
+	f.stop[id] = func() {
+		f.net.Leave(id)
+		cancel()
+		<-s.Done()
+	}
+	f.g.Go(func() error { return s.Run(ctx) })
+}
+
+func (f *services) close(t *testing.T) {
+	for _, stop := range f.stop {
+		stop()
+	}
+	if err := f.g.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+// users returns the number of hosts that hold each slot, as the sum and the largest.
+func (f *services) users() (sum, most int) {
+	for slot := range ledger.SlotCount {
+		n := 0
+		for _, s := range f.all {
+			if s.Holds(slot) {
+				n++
+			}
+		}
+		sum, most = sum+n, max(most, n)
+	}
+	return sum, most
+}
+
+// admitted counts how many of n requests of the team one host admits in sequence.
+func (f *services) admitted(host, team string, n int) (count int) {
+	for range n {
+		if d, err := f.all[host].Admit(context.Background(), team, 1); err == nil && d.Admitted {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against a driver that does not join, fence, rejoin, borrow, leave or stop as its parts allow it to.
+func TestServiceThroughFaults(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		act  func(t *testing.T, f *services)
+	}{
+		{"no fault", func(*testing.T, *services) {}},
+		{"burst at one host", func(t *testing.T, f *services) {
+			if n := f.admitted("b", "small", 3); n != 3 {
+				t.Errorf("%d of a burst of 3 admitted at one host", n)
+			}
+		}},
+		{"over rate", func(t *testing.T, f *services) {
+			start, n := time.Now(), 0
+			for time.Since(start) < 2*time.Second {
+				n += f.admitted("c", "team", 1)
+				time.Sleep(time.Millisecond)
+			}
+			if n > 250 || n < 230 {
+				t.Errorf("%d admitted in 2 s, burst + 2 s of rate are 250", n)
+			}
+		}},
+		{"host dies", func(_ *testing.T, f *services) {
+			f.stop["c"]()
+			delete(f.all, "c")
+		}},
+		{"host leaves", func(t *testing.T, f *services) {
+			if err := f.all["c"].Leave(context.Background()); err != nil || f.all["a"].Status().Members != 2 {
+				t.Errorf("leave: %v, members %d", err, f.all["a"].Status().Members)
+			}
+			<-f.all["c"].Done()
+		}},
+		{"host restarts", func(_ *testing.T, f *services) {
+			f.stop["c"]()
+			f.start("c")
+		}},
+		{"host is cut off and rejoins", func(t *testing.T, f *services) {
+			f.net.Leave("c")
+			time.Sleep(2 * time.Second)
+			if f.all["c"].LeaseValid() && f.all["c"].Status().Epoch <= 6 {
+				t.Error("lease holds 2 s after the host was cut off")
+			}
+			f.net.Join("c", f.all["c"].opts.Table)
+		}},
+		{"join in an outage of the store borrows", func(t *testing.T, f *services) {
+			f.store.SetFaults(store.Faults{Down: true})
+			f.start("d")
+			time.Sleep(2 * time.Second)
+			if n := f.admitted("d", "team", 10); n < 9 || f.all["d"].LeaseValid() {
+				t.Errorf("%d of 10 admitted at a host outside the ledger", n)
+			}
+			f.store.SetFaults(store.Faults{})
+		}},
+		{"lost answers", func(_ *testing.T, f *services) {
+			f.store.SetFaults(store.Faults{LoseAnswers: true})
+			f.start("d")
+		}},
+		{"link budget", func(t *testing.T, f *services) {
+			d, err := f.all["a"].LinkAdmit(context.Background(), "x>y", 3e5)
+			f.all["a"].LinkCorrect("x>y", -1e5)
+			if err != nil || !d.Admitted {
+				t.Errorf("link refused %v %v", d, err)
+			}
+			if _, err := f.all["a"].Admit(context.Background(), "nobody", 1); !errors.Is(err, ErrUnknownBudget) {
+				t.Errorf("unknown team: %v", err)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startServices("a", "b", "c")
+				defer f.close(t)
+				c.act(t, f)
+				time.Sleep(5 * time.Second)
+				if sum, most := f.users(); sum != ledger.SlotCount || most != 1 {
+					t.Errorf("%d slots in use by at most %d hosts, want 64 by 1", sum, most)
+					for id, s := range f.all {
+						t.Logf("%s %+v", id, s.Status())
+					}
+				}
+			})
+		})
+	}
+}
--- a/host/budgets/stores.go
+++ b/host/budgets/stores.go
@@ -210,10 +210,10 @@
 		gone, err := n.writeLeave(callCtx, s.opts.Store, s.opts.Clock, o)
 		cancel()
 		if gone {
-			close(s.left)
 			s.announce(ctx)
 			// The senders need a moment for the last messages.
 			sleep(ctx, tickEvery)
+			close(s.left)
 			return nil
 		}
 		s.opts.Log.Debug("leaving the ledger failed", "host", s.opts.Host, "err", err)
