Report what each team was due and served

Cause: charging only admitted requests called all 871 refusals of the noisy team within its rate, because a part of its burst stayed unspent on hosts that it does not use. Change: a token bucket charged with the arrivals gives what was due; the shortfall is the refusals within rate.

--- a/load/rate.go
+++ b/load/rate.go
@@ -5,23 +5,59 @@
 	"slices"
 )
 
-// rateReason is the refusal that counts against the team's rate.
-const rateReason = "rate-exceeded"
+// TeamReport compares what a team was served with what its rate and burst entitled it to.
+type TeamReport struct {
+	Team string `json:"team"`
+	// Due is the number of requests that a token bucket of the team's rate and burst would have admitted.
+	Due    int `json:"due"`
+	Served int `json:"served"`
+	// RefusedWithinRate is the number of due requests that were not admitted.
+	RefusedWithinRate int `json:"refused-within-rate"`
+	// Share is the served part of what was due, at most 1.
+	Share float64 `json:"share"`
+}
 
-// markWithinRate finds the refusals for lack of rate although the team's rate had room. A token bucket that starts
-// full is charged with every admitted request when it was sent; a refusal that meets a token was within the rate.
-func markWithinRate(team Team, samples []*sample) {
-	slices.SortFunc(samples, func(a, b *sample) int { return cmp.Compare(a.sent, b.sent) })
-	level, last := team.Burst, 0.0
+// teamReport charges a token bucket, which starts full, with the team's arrivals in their order.
+func teamReport(team Team, samples []sample) TeamReport {
+	report := TeamReport{Team: team.Name, Share: 1}
+	var arrivals []float64
+	refused := 0
 	for _, s := range samples {
-		now := s.sent.Seconds()
-		level = min(team.Burst, level+(now-last)*team.Rate)
-		last = now
-		switch {
-		case s.refusal == "":
+		if s.team != team.Name {
+			continue
+		}
+		arrivals = append(arrivals, s.sent.Seconds())
+		if s.refusal == "" && !s.failed {
+			report.Served++
+		}
+		if s.refusal == "rate-exceeded" {
+			refused++
+		}
+	}
+	slices.Sort(arrivals)
+	level, last := team.Burst, 0.0
+	for _, at := range arrivals {
+		level = min(team.Burst, level+(at-last)*team.Rate)
+		last = at
+		if level >= 1 {
 			level--
-		case s.refusal == rateReason:
-			s.withinRate = level >= 1
+			report.Due++
 		}
 	}
+	// A team that sent more than its rate has refusals beyond it; only the shortfall counts.
+	report.RefusedWithinRate = max(0, min(refused, report.Due-report.Served))
+	if report.Due > 0 {
+		report.Share = min(1, float64(report.Served)/float64(report.Due))
+	}
+	return report
+}
+
+// teamReports returns the reports of all teams, the worst served first.
+func (r *Runner) teamReports() []TeamReport {
+	var reports []TeamReport
+	for _, team := range r.profile.Teams {
+		reports = append(reports, teamReport(team, r.samples))
+	}
+	slices.SortStableFunc(reports, func(a, b TeamReport) int { return cmp.Compare(a.Share, b.Share) })
+	return reports
 }
--- a/load/report.go
+++ b/load/report.go
@@ -10,16 +10,15 @@
 
 // RouteReport is what the callers of one team saw on one route. Times are in milliseconds.
 type RouteReport struct {
-	Team              string  `json:"team"`
-	Route             string  `json:"route"`
-	Requests          int     `json:"requests"`
-	Succeeded         int     `json:"succeeded"`
-	Refused           int     `json:"refused"`
-	RefusedWithinRate int     `json:"refused-within-rate"`
-	Failed            int     `json:"failed"`
-	P50               float64 `json:"p50-ms"`
-	P99               float64 `json:"p99-ms"`
-	P999              float64 `json:"p99.9-ms"`
+	Team      string  `json:"team"`
+	Route     string  `json:"route"`
+	Requests  int     `json:"requests"`
+	Succeeded int     `json:"succeeded"`
+	Refused   int     `json:"refused"`
+	Failed    int     `json:"failed"`
+	P50       float64 `json:"p50-ms"`
+	P99       float64 `json:"p99-ms"`
+	P999      float64 `json:"p99.9-ms"`
 }
 
 // PromiseReport is the check of one promise.
@@ -35,13 +34,12 @@
 type Report struct {
 	DurationSeconds float64       `json:"duration-seconds"`
 	Routes          []RouteReport `json:"routes"`
-	// WorstTeam had the smallest part of its requests within rate served.
-	WorstTeam       string           `json:"worst-served-team"`
-	WorstTeamServed float64          `json:"worst-served-share"`
-	Refusals        map[string]int   `json:"refusals-by-reason"`
-	Skipped         uint64           `json:"skipped-arrivals"`
-	Headroom        []RegionHeadroom `json:"headroom"`
-	Promises        []PromiseReport  `json:"promises"`
+	// Teams holds the worst-served team first.
+	Teams    []TeamReport     `json:"teams"`
+	Refusals map[string]int   `json:"refusals-by-reason"`
+	Skipped  uint64           `json:"skipped-arrivals"`
+	Headroom []RegionHeadroom `json:"headroom"`
+	Promises []PromiseReport  `json:"promises"`
 }
 
 // Broken reports whether a promise was violated.
@@ -53,7 +51,6 @@
 func (r *Runner) Report(servers *Servers) Report {
 	report := Report{DurationSeconds: time.Since(r.start).Seconds(), Skipped: r.skipped.Load(), Refusals: map[string]int{}}
 	type group struct{ team, route string }
-	r.markTeams()
 	latencies := map[group][]time.Duration{}
 	routes := map[group]*RouteReport{}
 	for _, s := range r.samples {
@@ -68,9 +65,6 @@
 		case s.refusal != "":
 			route.Refused++
 			report.Refusals[s.refusal]++
-			if s.withinRate {
-				route.RefusedWithinRate++
-			}
 		case s.failed || s.status >= 500:
 			route.Failed++
 		default:
@@ -85,46 +79,12 @@
 	slices.SortFunc(report.Routes, func(a, b RouteReport) int {
 		return cmp.Or(cmp.Compare(a.Team, b.Team), cmp.Compare(a.Route, b.Route))
 	})
-	report.WorstTeam, report.WorstTeamServed = worstTeam(r.samples)
+	report.Teams = r.teamReports()
 	report.Headroom = servers.Headroom()
 	report.Promises = r.checkPromises(servers)
 	return report
 }
 
-// markTeams marks the refusals within rate of every team.
-func (r *Runner) markTeams() {
-	for _, team := range r.profile.Teams {
-		var samples []*sample
-		for i := range r.samples {
-			if r.samples[i].team == team.Name {
-				samples = append(samples, &r.samples[i])
-			}
-		}
-		markWithinRate(team, samples)
-	}
-}
-
-// worstTeam compares the served share of what was due to each team: all but the refusals beyond its rate.
-func worstTeam(samples []sample) (worst string, share float64) {
-	due, served := map[string]int{}, map[string]int{}
-	for _, s := range samples {
-		if s.refusal == rateReason && !s.withinRate {
-			continue
-		}
-		due[s.team]++
-		if s.refusal == "" && !s.failed {
-			served[s.team]++
-		}
-	}
-	share = 2
-	for team, n := range due {
-		if part := float64(served[team]) / float64(n); part < share || part == share && team < worst {
-			worst, share = team, part
-		}
-	}
-	return worst, share
-}
-
 // quantile returns milliseconds; 0 without samples.
 func quantile(values []time.Duration, q float64) float64 {
 	if len(values) == 0 {
@@ -137,13 +97,20 @@
 
 // Write prints the report as text.
 func (r Report) Write(out io.Writer) {
-	fmt.Fprintf(out, "%-12s %-16s %8s %8s %8s %8s %8s %9s %9s %9s\n",
-		"team", "route", "requests", "served", "refused", "in-rate", "failed", "p50 ms", "p99 ms", "p99.9 ms")
+	fmt.Fprintf(out, "%-12s %-16s %8s %8s %8s %8s %9s %9s %9s\n",
+		"team", "route", "requests", "served", "refused", "failed", "p50 ms", "p99 ms", "p99.9 ms")
 	for _, t := range r.Routes {
-		fmt.Fprintf(out, "%-12s %-16s %8d %8d %8d %8d %8d %9.2f %9.2f %9.2f\n",
-			t.Team, t.Route, t.Requests, t.Succeeded, t.Refused, t.RefusedWithinRate, t.Failed, t.P50, t.P99, t.P999)
+		fmt.Fprintf(out, "%-12s %-16s %8d %8d %8d %8d %9.2f %9.2f %9.2f\n",
+			t.Team, t.Route, t.Requests, t.Succeeded, t.Refused, t.Failed, t.P50, t.P99, t.P999)
+	}
+	for i, t := range r.Teams {
+		rank := ""
+		if i == 0 {
+			rank = "  (worst-served team)"
+		}
+		fmt.Fprintf(out, "team %-14s due %6d served %6d refused within rate %4d, served share %.2f%%%s\n",
+			t.Team, t.Due, t.Served, t.RefusedWithinRate, 100*t.Share, rank)
 	}
-	fmt.Fprintf(out, "worst-served team: %s, %.2f%% of what was due to it\n", r.WorstTeam, 100*r.WorstTeamServed)
 	fmt.Fprintf(out, "refusals by reason: %v; skipped arrivals: %d\n", r.Refusals, r.Skipped)
 	for _, h := range r.Headroom {
 		fmt.Fprintf(out, "headroom in %-12s mean %.0f%%, lowest %.0f%% of %d slots\n", h.Region, 100*h.Mean, 100*h.Lowest, h.Slots)
--- a/load/runner.go
+++ b/load/runner.go
@@ -27,11 +27,9 @@
 	refusal        string
 	ran            string
 	failed         bool
-	// withinRate is set by markWithinRate for refusals for lack of rate although the team had some left.
-	withinRate bool
-	tag        string
-	key        string
-	attempts   int
+	tag            string
+	key            string
+	attempts       int
 	// wrong is set when the body does not belong to the request.
 	wrong bool
 }
