Let operators declare hosts and regions dead, and give client blocks to regions

Cause: a member that cannot be fenced (a whole region, a host lost together with a witness) kept its share for ever, and look-ups knew no client blocks. Change: documents hosts and regions take dead; the ledger removes such members; regions take blocks, which the look-up index loads after each change.

--- a/core/config/check.go
+++ b/core/config/check.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"net/netip"
 	"regexp"
 	"strings"
 	"time"
@@ -230,6 +231,20 @@
 	}
 }
 
+// maxBlocks bounds the client blocks of a region in the configuration.
+const maxBlocks = 10_000
+
+func checkRegion(_ *Configuration, _ string, r Region, _ bool, report reporter) {
+	if len(r.Blocks) > maxBlocks {
+		report("blocks", len(r.Blocks), "at most 10000 blocks")
+	}
+	for _, block := range r.Blocks {
+		if prefix, err := netip.ParsePrefix(block); err != nil || prefix.Masked() != prefix {
+			report("blocks", block, "an address prefix without host bits, such as 10.1.0.0/16")
+		}
+	}
+}
+
 func checkLink(c *Configuration, _ string, l Link, references bool, report reporter) {
 	within(report, "bytes-per-second", l.BytesPerSecond, 0, 1e15, true)
 	if l.From == l.To {
--- a/core/config/collections.go
+++ b/core/config/collections.go
@@ -36,7 +36,7 @@
 	newCollection("services", func(c *Configuration) *map[string]Service { return &c.Services }, checkService),
 	newCollection("servers", func(c *Configuration) *map[string]Server { return &c.Servers }, checkNothing[Server]),
 	newCollection("hosts", func(c *Configuration) *map[string]HostOverride { return &c.Hosts }, checkNothing[HostOverride]),
-	newCollection("regions", func(c *Configuration) *map[string]Region { return &c.Regions }, checkNothing[Region]),
+	newCollection("regions", func(c *Configuration) *map[string]Region { return &c.Regions }, checkRegion),
 	newCollection("links", func(c *Configuration) *map[string]Link { return &c.Links }, checkLink),
 	newCollection("shifts", func(c *Configuration) *map[string]Shift { return &c.Shifts }, checkShift),
 	newCollection("rollouts", func(c *Configuration) *map[string]Rollout { return &c.Rollouts }, checkRollout),
--- a/core/config/documents.go
+++ b/core/config/documents.go
@@ -82,11 +82,16 @@
 // HostOverride overrides what the platform list says about a host.
 type HostOverride struct {
 	Drain bool `json:"drain,omitempty" toml:"drain,omitempty"`
+	// Dead is the operator's assertion that no process of the host runs. It releases the host's budget shares.
+	Dead bool `json:"dead,omitempty" toml:"dead,omitempty"`
 }
 
-// Region is a region that operators know. Dead releases the region's budget shares.
+// Region is a region that operators know.
 type Region struct {
+	// Dead is the operator's assertion that no host of the region runs. It releases the region's budget shares.
 	Dead bool `json:"dead,omitempty" toml:"dead,omitempty"`
+	// Blocks holds the prefixes of client addresses that are nearest to the region, at most 10,000.
+	Blocks []string `json:"blocks,omitempty" toml:"blocks,omitempty"`
 }
 
 // Link is the capacity of one direction between two regions.
--- /dev/null
+++ b/host/blocks.go
@@ -0,0 +1,62 @@
+package host
+
+import (
+	"context"
+	"iter"
+	"net/netip"
+
+	"vanillatally/core/config"
+	"vanillatally/io/events"
+)
+
+// blocks loads the client blocks of the regions into the look-up index after each change of the configuration.
+type blocks struct {
+	host *Host
+	// changed holds at most one signal, because one load takes in all changes before it.
+	changed chan struct{}
+	done    chan struct{}
+}
+
+func newBlocks(h *Host) *blocks {
+	b := &blocks{host: h, changed: make(chan struct{}, 1), done: make(chan struct{})}
+	h.configs.Subscribe(func(*config.Configuration) {
+		select {
+		case b.changed <- struct{}{}:
+		default:
+		}
+	})
+	return b
+}
+
+func (b *blocks) run(ctx context.Context) error {
+	defer close(b.done)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-b.changed:
+		}
+		if err := b.host.lookups.Load(ctx); err != nil {
+			b.host.log.Emit(events.ConfigInvalid, "error", err)
+		}
+		b.host.lookups.Notify()
+	}
+}
+
+// all returns the blocks of the configuration in force with the regions that they belong to.
+func (b *blocks) all(context.Context) (iter.Seq2[netip.Prefix, string], error) {
+	current := b.host.configs.Current()
+	return func(yield func(netip.Prefix, string) bool) {
+		if current == nil {
+			return
+		}
+		for name, region := range current.Regions {
+			for _, text := range region.Blocks {
+				prefix, err := netip.ParsePrefix(text)
+				if err == nil && !yield(prefix, name) {
+					return
+				}
+			}
+		}
+	}, nil
+}
--- a/host/budgets/exchange.go
+++ b/host/budgets/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -102,6 +103,9 @@
 	if leaving && !me.Leaving || len(me.Witnesses) == 0 && len(n.ledger.Members) > 1 {
 		return true
 	}
+	if !n.declaredDead(me) && slices.ContainsFunc(n.ledger.Members, n.declaredDead) {
+		return true
+	}
 	if n.lapsedAt != 0 && now-n.lapsedAt >= rejoinAfter {
 		return true
 	}
--- a/host/budgets/node.go
+++ b/host/budgets/node.go
@@ -43,6 +43,9 @@
 	factor  float64
 	defects defects
 
+	// dead tells which members the operator declared dead; nil means none.
+	dead func(ledger.Member) bool
+
 	mu      sync.Mutex
 	rng     *rand.Rand
 	ledger  ledger.Ledger
--- a/host/budgets/node_lease.go
+++ b/host/budgets/node_lease.go
@@ -143,6 +143,8 @@
 	join bool
 }
 
+func (n *node) declaredDead(m ledger.Member) bool { return n.dead != nil && n.dead(m) }
+
 // propose returns the next change for the known ledger, if one is due. asOf is a time at which the store
 // still held the known ledger; the lease of a host that takes its first witnesses counts from it.
 func (n *node) propose(asOf time.Duration, leaving bool) (c change, ok bool) {
@@ -153,13 +155,17 @@
 	o := n.owner()
 	if o.Incarnation == 0 {
 		_, known := n.ledger.Member(n.self.Host)
-		if leaving || known && asOf < n.replaceAfter {
+		if leaving || known && asOf < n.replaceAfter || n.declaredDead(n.self) {
 			return change{}, false
 		}
 		next, err := n.ledger.Join(n.self)
 		return change{next, true}, err == nil
 	}
 	me, _ := n.ledger.Member(o.Host)
+	if i := slices.IndexFunc(n.ledger.Members, n.declaredDead); i >= 0 && !n.declaredDead(me) {
+		next, err := n.ledger.Forget(n.ledger.Members[i].Host)
+		return change{next: next}, err == nil
+	}
 	if len(me.Witnesses) == 0 && len(n.ledger.Members) > 1 {
 		next, err := n.ledger.Adopt(o)
 		n.holder = n.holder.Adopting(n.terms, asOf)
--- a/host/host.go
+++ b/host/host.go
@@ -13,7 +13,6 @@
 	"github.com/fxamacker/cbor/v2"
 	"golang.org/x/sync/errgroup"
 
-	"vanillatally/core/config"
 	"vanillatally/core/membership"
 	"vanillatally/core/quarantine"
 	"vanillatally/host/budgets"
@@ -51,6 +50,7 @@
 	links    linkNames
 	claims   *claims.Service
 	lookups  *lookup.Service
+	blocks   *blocks
 	requests *request.Service
 	callers  *callers.Server
 
@@ -92,12 +92,12 @@
 	h.claims = claims.New(claims.Options{
 		Host: s.Host, Ledger: h.budgets, Caller: h.node, Peers: table, Now: h.now, Logger: log.Logger(),
 	})
+	h.blocks = newBlocks(h)
 	h.lookups = lookup.New(lookup.Options{
 		Self:    membership.Member{Host: s.Host, Region: s.Region, FailureDomain: s.FailureDomain, CallerAddress: s.CallerAddress},
 		Members: h.members.Members, Configuration: h.configs.Current, BackendServers: h.servers.get,
-		ShareHolders: h.shareHolders, Now: h.now, TTL: time.Duration(s.Limits.LookupTTL),
+		ShareHolders: h.shareHolders, Blocks: h.blocks.all, Now: h.now, TTL: time.Duration(s.Limits.LookupTTL),
 	})
-	h.configs.Subscribe(func(*config.Configuration) { h.lookups.Notify() })
 	h.requests = h.newRequests(table)
 	h.callers = callers.New(callers.Options{
 		Requests: h.requests, Lookup: h.lookups.Handler(),
@@ -218,7 +218,7 @@
 		group.Go(func() error { return serve(server, listeners[i]) })
 	}
 	runs := []func(context.Context) error{
-		h.servers.run, h.members.Run, h.configs.Run, h.budgets.Run, h.claims.Run, h.lookups.Run, h.requests.Run,
+		h.servers.run, h.members.Run, h.configs.Run, h.budgets.Run, h.claims.Run, h.lookups.Run, h.blocks.run, h.requests.Run,
 	}
 	for _, run := range runs {
 		group.Go(func() error { return run(parts) })
--- a/io/terminal/command.go
+++ b/io/terminal/command.go
@@ -80,7 +80,7 @@
 	keyGrantCommand, keyWithdrawCommand,
 	shiftStartCommand, shiftWatchCommand, shiftCancelCommand,
 	rolloutStartCommand, rolloutWatchCommand, rolloutCancelCommand,
-	drainServerCommand, drainHostCommand,
+	drainServerCommand, drainHostCommand, hostDeadCommand, regionDeadCommand,
 	statusCommand, explainCommand,
 }
 
--- a/io/terminal/fleet.go
+++ b/io/terminal/fleet.go
@@ -12,14 +12,14 @@
 	"vanillatally/core/config"
 )
 
-var offFlag = flag{"off", "true to end the drain", "false"}
+var offFlag = flag{"off", "true to take it back", "false"}
 
 var drainServerCommand = command{
 	name: "drain-server", description: "send a backend server no new work; work in flight finishes", example: "drain-server search-3",
 	arguments: []argument{{"server", "id of the backend server"}}, flags: []flag{offFlag},
 	run: func(ctx context.Context, s *session, v values) error {
 		return edit(ctx, s, "servers", v.get("server"), func(d *config.Server) error {
-			return drainFlag(v, &d.Drain)
+			return onUnlessOff(v, &d.Drain)
 		})
 	},
 }
@@ -29,20 +29,43 @@
 	arguments: []argument{{"host", "id of the host"}}, flags: []flag{offFlag},
 	run: func(ctx context.Context, s *session, v values) error {
 		return edit(ctx, s, "hosts", v.get("host"), func(d *config.HostOverride) error {
-			return drainFlag(v, &d.Drain)
+			return onUnlessOff(v, &d.Drain)
 		})
 	},
 }
 
-func drainFlag(v values, drain *bool) error {
+// onUnlessOff sets an assertion, or takes it back with --off true.
+func onUnlessOff(v values, set *bool) error {
 	off, err := strconv.ParseBool(v.get("off"))
 	if err != nil {
 		return errors.Newf("--off: %q is not true or false", v.get("off"))
 	}
-	*drain = !off
+	*set = !off
 	return nil
 }
 
+var hostDeadCommand = command{
+	name:        "host-dead",
+	description: "assert that no process of a host runs, which releases its share of every rate",
+	example:     "host-dead host-4", arguments: []argument{{"host", "id of the host"}}, flags: []flag{offFlag},
+	run: func(ctx context.Context, s *session, v values) error {
+		return edit(ctx, s, "hosts", v.get("host"), func(d *config.HostOverride) error {
+			return onUnlessOff(v, &d.Dead)
+		})
+	},
+}
+
+var regionDeadCommand = command{
+	name:        "region-dead",
+	description: "assert that no host of a region runs, which releases its share of every rate",
+	example:     "region-dead levant", arguments: []argument{{"region", "name of the region"}}, flags: []flag{offFlag},
+	run: func(ctx context.Context, s *session, v values) error {
+		return edit(ctx, s, "regions", v.get("region"), func(d *config.Region) error {
+			return onUnlessOff(v, &d.Dead)
+		})
+	},
+}
+
 var statusCommand = command{
 	name: "status", description: "show what the host knows about itself, the fleet and the moves", example: "status --json",
 	run: func(ctx context.Context, s *session, _ values) error {
