--- a/core/steering/bench_test.go
+++ b/core/steering/bench_test.go
@@ -118,10 +118,12 @@
 		var start atomic.Uint64
 		b.RunParallel(func(pb *testing.PB) {
 			var out Ranking
-			i := int(start.Add(7919))
+			i := int(start.Add(7919)) % len(clients)
 			for pb.Next() {
-				i++
-				s.Rank(Query{Client: clients[i%len(clients)]}, 3, &out)
+				if i++; i >= len(clients) {
+					i = 0
+				}
+				s.Rank(Query{Client: clients[i]}, 3, &out)
 			}
 		})
 		b.ReportMetric(float64(b.N)/b.Elapsed().Seconds()/1e6, "M-lookups/s")
@@ -173,8 +175,10 @@
 		var out Ranking
 		i := 0
 		for b.Loop() {
-			i++
-			published.Load().Rank(Query{Client: clients[i%len(clients)]}, 3, &out)
+			if i++; i >= len(clients) {
+				i = 0
+			}
+			published.Load().Rank(Query{Client: clients[i]}, 3, &out)
 		}
 		close(done)
 		_ = writer.Wait()
