Show that a frozen host honours no withdrawn key after it wakes up

Cause: the promise had no test with a host that missed the withdrawal. Change: a host process is stopped by a signal until it counts as dead, the key is withdrawn, the host is continued and gets 40 requests with the key at once. Ruled out: a change that waits in a socket of the frozen host hides the fault, so its connections are retired first.

--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"vanillatally/core/config"
+	"vanillatally/core/membership"
 	"vanillatally/host"
 	"vanillatally/io/backends"
 	"vanillatally/io/hosts"
@@ -222,7 +223,7 @@
 			status, err := p.client().Status(ctx)
 			alive := 0
 			for _, m := range status.Members {
-				if m.State == "alive" {
+				if m.State == membership.Alive {
 					alive++
 				}
 			}
@@ -234,6 +235,23 @@
 	}
 }
 
+// waitDead waits until the first host counts p as dead, which is after its leases and its proof of freshness ended.
+func (f *fleet) waitDead(p *process) {
+	f.t.Helper()
+	f.wait(p.id+" to count as dead", func(ctx context.Context) error {
+		status, err := f.hosts[0].client().Status(ctx)
+		if err != nil {
+			return err
+		}
+		for _, m := range status.Members {
+			if m.Host == p.id && m.State == membership.Dead {
+				return nil
+			}
+		}
+		return fmt.Errorf("%s still counts as alive", p.id)
+	})
+}
+
 // wait polls until check succeeds.
 func (f *fleet) wait(what string, check func(ctx context.Context) error) {
 	f.t.Helper()
--- a/host/process_test.go
+++ b/host/process_test.go
@@ -178,19 +178,8 @@
 	count(f.hosts[1], 30)
 	frozen := f.hosts[2]
 	_ = frozen.command.Process.Signal(syscall.SIGSTOP)
-	f.wait("the frozen host to be fenced", func(ctx context.Context) error {
-		count(f.hosts[0], 5)
-		status, err := f.hosts[0].client().Status(ctx)
-		if err != nil {
-			return err
-		}
-		for _, m := range status.Members {
-			if m.Host == frozen.id && m.State == "dead" {
-				return nil
-			}
-		}
-		return fmt.Errorf("%s still counts as alive", frozen.id)
-	})
+	count(f.hosts[0], 30)
+	f.waitDead(frozen)
 	count(f.hosts[1], 30)
 	_ = frozen.command.Process.Signal(syscall.SIGCONT)
 	count(frozen, 60)
@@ -208,6 +197,42 @@
 	})
 }
 
+// Guards against a host that wakes up and honours a key that was withdrawn while it was frozen.
+func TestFrozenHostHonoursNoWithdrawnKey(t *testing.T) {
+	f := newFleet(t, 3, 2)
+	frozen := f.hosts[2]
+	_ = frozen.command.Process.Signal(syscall.SIGSTOP)
+	// Its connections are retired before the change, so that no message about it waits in a socket.
+	f.waitDead(frozen)
+	answer := f.apply("[teams.alpha]\ntemplate = \"standard\"\nkeys = []\n")
+	if answer.State != operators.Accepted {
+		t.Errorf("the change is %s, not confirmed by %v", answer.State, answer.Unconfirmed)
+	}
+	_ = frozen.command.Process.Signal(syscall.SIGCONT)
+	group := &errgroup.Group{}
+	for i := range 40 {
+		group.Go(func() error {
+			req, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/search/%d", frozen.caller, i), nil)
+			if err != nil {
+				return err
+			}
+			req.Header.Set("Authorization", "Bearer "+teamKey)
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				return err
+			}
+			defer func() { _ = resp.Body.Close() }()
+			if resp.StatusCode == http.StatusOK {
+				return fmt.Errorf("request %d with a withdrawn key was served", i)
+			}
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against a peer or operator port that fails on foreign input instead of refusing it.
 func TestForeignInputIsRefused(t *testing.T) {
 	f := newFleet(t, 1, 1)
