--- /dev/null
+++ b/core/queue/queue_test.go
@@ -0,0 +1,111 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"vanillatally/core/config"
+)
+
+func item(team string, class config.Class, weight float64, startBy time.Duration) *Item[int] {
+	return &Item[int]{Team: team, Class: class, Weight: weight, StartBy: startBy}
+}
+
+// Guards against a team that takes the queue's turns, or its places, from the others.
+func TestTeamsShareTurnsByWeight(t *testing.T) {
+	q := New[int]()
+	refused := 0
+	for range 1000 {
+		if q.Push(0, item("greedy", config.Patient, 1, time.Hour), 0, 1) == TeamFull {
+			refused++
+		}
+	}
+	for range 30 {
+		if v := q.Push(0, item("small", config.Patient, 3, time.Hour), 0, 1); v != Queued {
+			t.Fatalf("the small team was refused: %s", v)
+		}
+	}
+	served := map[string]int{}
+	for range 40 {
+		next, _ := q.Pop(0)
+		served[next.Team]++
+	}
+	if refused != 1000-256 || served["small"] < 28 {
+		t.Errorf("%d of the greedy team refused, turns %v", refused, served)
+	}
+}
+
+// Guards against bulk work that never arrives, and prompt work that waits behind it.
+func TestClassesAreServedInOrderAndNoneStarves(t *testing.T) {
+	q := New[int]()
+	for _, class := range []config.Class{config.Bulk, config.Patient, config.Prompt} {
+		for range 60 {
+			q.Push(0, item("a", class, 1, time.Hour), 0, 1)
+		}
+	}
+	served := map[config.Class]int{}
+	for range 64 {
+		next, _ := q.Pop(0)
+		served[next.Class]++
+	}
+	if served[config.Prompt] < 44 || served[config.Patient] < 8 || served[config.Bulk] < 4 {
+		t.Errorf("turns %v", served)
+	}
+}
+
+// Guards against work that is queued or started although its deadline cannot be met.
+func TestLateRequestsAreRefused(t *testing.T) {
+	q := New[int]()
+	for i := range 10 {
+		q.Push(0, item(fmt.Sprint(i), config.Patient, 1, time.Second), 100*time.Millisecond, 1)
+	}
+	if v := q.Push(0, item("b", config.Patient, 1, 500*time.Millisecond), 100*time.Millisecond, 1); v != TooLate {
+		t.Errorf("a request that cannot start in time: %s", v)
+	}
+	if v := q.Push(0, item("c", config.Prompt, 1, time.Hour), 100*time.Millisecond, 1); v != Queued {
+		t.Errorf("a prompt request before patient ones: %s", v)
+	}
+	next, expired := q.Pop(2 * time.Second)
+	if next == nil || next.Team != "c" {
+		t.Errorf("got %+v first", next)
+	}
+	if next, expired = q.Pop(2 * time.Second); next != nil || len(expired) != 10 {
+		t.Errorf("got %+v and %d expired after the deadline", next, len(expired))
+	}
+}
+
+// Guards against a queue that loses requests, returns one twice, or miscounts.
+func TestQueueReturnsEachRequestOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New[int]()
+		waiting := map[*Item[int]]bool{}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				i := item(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team"), rapid.SampledFrom(order).Draw(t, "class"),
+					rapid.SampledFrom([]float64{0.3, 1, 2.5}).Draw(t, "weight"), time.Hour)
+				if q.Push(0, i, 0, 1) == Queued {
+					waiting[i] = true
+				}
+			case 2:
+				next, _ := q.Pop(0)
+				if next != nil && !waiting[next] || next == nil && len(waiting) > 0 {
+					t.Fatalf("popped %+v of %d waiting", next, len(waiting))
+				}
+				delete(waiting, next)
+			default:
+				for i := range waiting {
+					q.Remove(i)
+					delete(waiting, i)
+					break
+				}
+			}
+			if q.Len() != len(waiting) {
+				t.Fatalf("length %d, want %d", q.Len(), len(waiting))
+			}
+		}
+	})
+}
--- a/host/request/answer.go
+++ b/host/request/answer.go
@@ -15,8 +15,12 @@
 // writeTimeout bounds the time in which a caller takes one part of a long response.
 const writeTimeout = 30 * time.Second
 
-// notPassedOn are the headers that concern the connection to the backend server only.
-var notPassedOn = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Transfer-Encoding", "Trailer", "Upgrade", "X-Load", "X-Shed"}
+// notPassedOn are the headers that concern the connection to the backend server only, and those that only a host may
+// set: a backend server must not state that a request was not run.
+var notPassedOn = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Transfer-Encoding", "Trailer", "Upgrade", "X-Load", "X-Shed",
+	"X-Refusal-Reason", "X-Request-Ran", "X-Request-Replayed", "X-Request-Id",
+}
 
 // answer passes the response on to the caller. A response that cannot be completed is aborted.
 func answer(x *exchange) error {
@@ -24,7 +28,6 @@
 	for _, name := range notPassedOn {
 		delete(response.Header, name)
 	}
-	delete(response.Header, "X-Request-Id")
 	x.status = response.Status
 	if x.claimed != nil {
 		x.finishClaim(storedResult(x.response))
@@ -99,9 +102,6 @@
 
 // abort gives up a response that has begun.
 func (x *exchange) abort() error {
-	if x.response.Rest != nil {
-		// The connection is closed; there is nothing to do about an error.
-		_ = x.response.Rest.Close()
-	}
+	discard(x.response)
 	return errAborted
 }
--- a/host/request/choose.go
+++ b/host/request/choose.go
@@ -22,7 +22,7 @@
 	shed bool
 	// repeat reports that the budget was charged for another attempt already.
 	repeat bool
-	pause time.Duration
+	pause  time.Duration
 }
 
 // Error describes the failure.
--- a/host/request/faults_test.go
+++ b/host/request/faults_test.go
@@ -105,9 +105,13 @@
 	f := newFleet(t, 1, backends.StandInOptions{}, nil)
 	encoded := "%6B" + url.QueryEscape(testKey[1:])
 	for _, c := range [][]string{
-		{"/search?key=" + testKey}, {"/search?a=1&access_token=" + encoded + "&b=2"}, {"/search?" + testKey},
-		{"/search", "X-Api-Key: " + testKey}, {"/search", "Cookie: session=" + testKey},
-		{"/search", "Proxy-Authorization: Bearer " + testKey}, {"/open?key=" + testKey, "Authorization: "},
+		{"/search?key=" + testKey},
+		{"/search?a=1&access_token=" + encoded + "&b=2"},
+		{"/search?" + testKey},
+		{"/search", "X-Api-Key: " + testKey},
+		{"/search", "Cookie: session=" + testKey},
+		{"/search", "Proxy-Authorization: Bearer " + testKey},
+		{"/open?key=" + testKey, "Authorization: "},
 		{"/open", "Authorization: ", "X-Token: " + testKey},
 	} {
 		if got := f.send("GET", c[0], "", c[1:]...); got.status != 200 {
--- a/host/request/forward.go
+++ b/host/request/forward.go
@@ -103,22 +103,21 @@
 		x.mayHaveRun = true
 		return &attemptError{repeat: true}
 	}
-	if !x.win() {
-		if response.Rest != nil {
-			// The connection is closed; there is nothing to do about an error.
-			_ = response.Rest.Close()
-		}
-		return errLost
-	}
 	x.server.report(now, response.Header)
 	if response.Status == http.StatusServiceUnavailable && response.Header.Get("X-Shed") == "true" {
 		pause := pauseOf(response.Header)
 		// One shed request says little about the next second, so that the server is avoided for a tenth of the time only.
 		x.server.shed(now, pause/10, response.Header.Get("Connection") == "close")
 		x.service.options.Hook.Event("shed", x.server.ID)
+		discard(response)
 		return &attemptError{shed: true, pause: pause}
 	}
+	// A response that loses against another attempt's still shows that the request ran.
 	x.mayHaveRun = true
+	if !x.win() {
+		discard(response)
+		return errLost
+	}
 	x.stats.add(now, latency)
 	failed := response.Status >= http.StatusInternalServerError
 	x.server.observe(now, x.pool, x.routeName, failed, latency)
@@ -130,6 +129,14 @@
 	return x.next()
 }
 
+// discard gives up a response that is not passed on.
+func discard(response *backends.Response) {
+	if response.Rest != nil {
+		// The connection is closed; there is nothing to do about an error.
+		_ = response.Rest.Close()
+	}
+}
+
 // tryElsewhere reports whether another server is tried instead of passing on a server's error.
 func (x *exchange) tryElsewhere(response *backends.Response) bool {
 	return response.Status >= http.StatusInternalServerError && response.Header.Get("X-Shed") != "true" &&
--- a/host/request/harness_test.go
+++ b/host/request/harness_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -57,6 +58,15 @@
 	}
 }
 
+var loopbacks atomic.Uint32
+
+// loopback returns an address that no other server of the test run uses. The port of a crashed server could
+// otherwise be given to a server of a test that runs beside this one.
+func loopback() string {
+	n := loopbacks.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+n>>14&63, n>>7&127, 1+n&127)
+}
+
 // newFleet starts servers stand-ins and one host before them.
 func newFleet(t testing.TB, servers int, standIn backends.StandInOptions, adjust func(*Options)) *fleet {
 	t.Helper()
@@ -64,6 +74,9 @@
 	var list []platform.BackendServer
 	for i := range servers {
 		o := standIn
+		if o.Address == "" {
+			o.Address = loopback()
+		}
 		o.ID = fmt.Sprintf("b%d", i)
 		s := backends.NewStandIn(o)
 		if err := s.Start(); err != nil {
@@ -91,7 +104,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error { return f.service.Run(ctx) })
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", loopback())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/backends/standin.go
+++ b/io/backends/standin.go
@@ -96,7 +96,7 @@
 	}
 	s.options.Address = listener.Addr().String()
 	s.listener = listener
-	server := &http.Server{Handler: s, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10, ConnContext: withConn}
+	server := &http.Server{Handler: s, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: 64 << 10, ConnContext: withConn, ConnState: noteState}
 	s.server = server
 	s.group.Go(func() error {
 		// Serve always returns an error, which a stop or a crash causes.
@@ -127,12 +127,12 @@
 // kill closes the listener and resets every connection, as the end of a process does.
 func (s *StandIn) kill() {
 	s.mu.Lock()
-	server, conns := s.server, s.conns
+	server, listener, conns := s.server, s.listener, s.conns
 	s.conns = map[*standInConn]struct{}{}
 	s.mu.Unlock()
 	if server != nil {
 		// The listener closes first, so that a new connection is refused before the old ones are reset.
-		_ = s.listener.Close()
+		_ = listener.Close()
 		for c := range conns {
 			c.reset()
 		}
--- a/io/backends/standin_faults.go
+++ b/io/backends/standin_faults.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -176,7 +177,7 @@
 			conn := connOf(r)
 			s.group.Go(func() error {
 				time.Sleep(30 * time.Millisecond)
-				_, _ = conn.Write(raw(id, body))
+				conn.writeIdle(raw(id, body))
 				return nil
 			})
 		}
@@ -257,6 +258,25 @@
 	net.Conn
 	server *StandIn
 	silent atomic.Bool
+	// busy is set while a request is read or answered.
+	busy atomic.Bool
+	mu   sync.Mutex
+}
+
+// noteState keeps busy up to date.
+func noteState(c net.Conn, state http.ConnState) {
+	if conn, ok := c.(*standInConn); ok {
+		conn.busy.Store(state != http.StateIdle)
+	}
+}
+
+// writeIdle sends p unless a request is running, since a server does not send one response inside another.
+func (c *standInConn) writeIdle(p []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.busy.Load() && !c.silent.Load() {
+		_, _ = c.Conn.Write(p)
+	}
 }
 
 // Read returns what arrives unless the connection is silent.
@@ -274,6 +294,8 @@
 	if c.silent.Load() {
 		return len(p), nil
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	return c.Conn.Write(p)
 }
 
