Use the configuration's own index on the request path

Cause: keys, routes and permitted routes were indexed twice, with different rules for dot segments. Change: the request path uses the index of package config; the paths with dot segments are recognized in one place.

--- a/core/config/check.go
+++ b/core/config/check.go
@@ -215,7 +215,7 @@
 }
 
 func checkRoute(c *Configuration, _ string, r Route, references bool, report reporter) {
-	if !strings.HasPrefix(r.PathPrefix, "/") || len(r.PathPrefix) > maxPrefixBytes || hasDotSegment(r.PathPrefix) {
+	if !strings.HasPrefix(r.PathPrefix, "/") || len(r.PathPrefix) > maxPrefixBytes || HasDotSegment(r.PathPrefix) {
 		report("path-prefix", r.PathPrefix, fmt.Sprintf("a path of 1 to %d bytes that starts with / and has no . or .. segment", maxPrefixBytes))
 	}
 	checkOneOf(report, "class", string(r.Class), string(Prompt), string(Patient), string(Bulk))
--- a/core/config/lookup.go
+++ b/core/config/lookup.go
@@ -134,7 +134,7 @@
 // RouteByPath returns the route whose prefix matches the most whole segments of a decoded path.
 // A path with a . or .. segment matches none, because a backend server could resolve it to another route.
 func (c *Configuration) RouteByPath(path string) (NamedRoute, bool) {
-	if hasDotSegment(path) {
+	if HasDotSegment(path) {
 		return NamedRoute{}, false
 	}
 	built := c.index()
@@ -150,7 +150,8 @@
 	return NamedRoute{}, false
 }
 
-func hasDotSegment(path string) bool {
+// HasDotSegment reports whether a decoded path has a . or .. segment.
+func HasDotSegment(path string) bool {
 	for rest := path; ; {
 		i := strings.Index(rest, "/.")
 		if i < 0 {
--- a/host/request/chain.go
+++ b/host/request/chain.go
@@ -46,10 +46,12 @@
 	context context.Context
 
 	// identify
-	index    *index
-	team     string
-	token    string
-	callerID string
+	configuration *config.Configuration
+	// effective is the team of the caller's key, or nil; team is its name.
+	effective *config.EffectiveTeam
+	team      string
+	token     string
+	callerID  string
 	// route
 	routeName  string
 	route      config.Route
--- a/host/request/choose.go
+++ b/host/request/choose.go
@@ -43,7 +43,7 @@
 
 // choose picks a backend server for each attempt, and repeats only what is safe to repeat.
 func choose(x *exchange) error {
-	view := x.service.pools.view(x.index.configuration)
+	view := x.service.pools.view(x.configuration)
 	in := view.services[x.route.Service]
 	if in == nil || len(in.servers) == 0 {
 		return noServer()
@@ -53,7 +53,7 @@
 	x.attempts = x.position
 	x.version = x.service.options.Moves.Version(x.route.Service, x.routeName, rand.Float64())
 	if x.version == "" {
-		x.version = x.index.configuration.Services[x.route.Service].Version
+		x.version = x.configuration.Services[x.route.Service].Version
 	}
 	for attempt := 1; ; attempt++ {
 		if refusal := x.pick(); refusal != nil {
--- a/host/request/identify.go
+++ b/host/request/identify.go
@@ -11,15 +11,17 @@
 // identify finds the team of the caller's key and removes the key from everything that a backend server gets.
 func identify(x *exchange) error {
 	x.callerID = x.r.Header.Get("X-Request-Id")
-	x.index = x.service.currentIndex()
-	if x.index == nil {
+	x.configuration = x.service.configuration()
+	if x.configuration == nil {
 		return callers.Refuse(http.StatusServiceUnavailable, "no-configuration", "this host has no configuration yet").
 			WithRetryAfter(retryLater)
 	}
 	authorization := x.r.Header.Get("Authorization")
 	if scheme, token, ok := strings.Cut(authorization, " "); ok && strings.EqualFold(scheme, "Bearer") {
 		x.token = strings.TrimSpace(token)
-		x.team, _ = x.index.teamOf(x.token)
+		if team, known := x.configuration.TeamByKey(x.token); known {
+			x.effective, x.team = team, team.Name
+		}
 	}
 	if x.token != "" && (strings.Contains(x.r.URL.Path, x.token) || strings.Contains(x.r.Host, x.token)) {
 		return callers.Refuse(http.StatusBadRequest, "key-in-path", "the path must not contain the key")
@@ -69,7 +71,7 @@
 	if len(text) < 8 || len(text) > maxKeyLength || strings.ContainsAny(text, " ,;") {
 		return false
 	}
-	_, known := x.index.teamOf(text)
+	_, known := x.configuration.TeamByKey(text)
 	return known
 }
 
--- a/host/request/queue.go
+++ b/host/request/queue.go
@@ -35,7 +35,7 @@
 
 // waitInQueue lets the request run when its turn comes, or refuses it while it is still known not to have run.
 func waitInQueue(x *exchange) error {
-	view := x.service.pools.view(x.index.configuration)
+	view := x.service.pools.view(x.configuration)
 	in := view.services[x.route.Service]
 	if in == nil || len(in.servers) == 0 {
 		return noServer()
@@ -67,7 +67,7 @@
 	}
 	now := g.service.now()
 	item := &queue.Item[chan bool]{
-		Team: x.team, Class: x.route.Class, Weight: x.index.weights[x.team],
+		Team: x.team, Class: x.route.Class, Weight: x.weight(),
 		StartBy: now + time.Until(x.deadline) - expected/2, Value: make(chan bool, 1),
 	}
 	verdict := g.waiting.Push(now, item, expected, limit)
@@ -139,3 +139,11 @@
 		x.gate.leave()
 	}
 }
+
+// weight is the team's part in fair sharing; requests on open routes without a key weigh as one team.
+func (x *exchange) weight() float64 {
+	if x.effective == nil {
+		return 1
+	}
+	return x.effective.Weight
+}
--- a/host/request/route.go
+++ b/host/request/route.go
@@ -2,23 +2,22 @@
 
 import (
 	"net/http"
-	"strings"
 
+	"vanillatally/core/config"
 	"vanillatally/io/callers"
 )
 
 // routeRequest finds the route and checks that the team may use it.
 func routeRequest(x *exchange) error {
 	path := x.r.URL.Path
-	// A backend server might resolve dot segments, and so reach a path of a route that the team may not use.
-	if strings.Contains(path, "/../") || strings.Contains(path, "/./") || strings.HasSuffix(path, "/..") || strings.HasSuffix(path, "/.") {
+	if config.HasDotSegment(path) {
 		return callers.Refuse(http.StatusBadRequest, "path-invalid", "the path must not contain dot segments")
 	}
-	found, ok := x.index.find(path)
+	found, ok := x.configuration.RouteByPath(path)
 	if !ok {
 		return callers.Refuse(http.StatusNotFound, "route-unknown", "no route has this path")
 	}
-	x.routeName, x.route = found.name, found.route
+	x.routeName, x.route = found.Name, found.Route
 	if !x.route.Open {
 		switch {
 		case x.token == "":
@@ -28,7 +27,7 @@
 				"this host cannot tell whether its configuration is the newest").WithRetryAfter(retryLater)
 		case x.team == "":
 			return callers.Refuse(http.StatusUnauthorized, "key-unknown", "the key is not known or was withdrawn")
-		case !x.index.permitted[x.team][x.routeName]:
+		case !x.effective.Allows(x.routeName):
 			return callers.Refuse(http.StatusForbidden, "route-not-permitted", "the team may not use route "+x.routeName)
 		}
 	}
--- a/host/request/service.go
+++ b/host/request/service.go
@@ -98,7 +98,7 @@
 	start    time.Time
 	ids      atomic.Uint64
 	prefix   string
-	index    atomic.Pointer[index]
+	indexed  atomic.Pointer[indexed]
 	pools    pools
 	queues   queues
 	suspects suspects
