Restart the count of silence when a witness is dropped, and lend to sparse demand

The ledger now notes the epoch at which a witness was dropped (witnesses-since), and the remaining witnesses count the member's silence anew from there. A unit test fails without it.

Sparse demand (less than one admission in 200 ms) now asks the fullest lenders for the whole token, not at all if the parts cannot make one, and returns what it does not need at the next tick.

--- a/core/budget/loan.go
+++ b/core/budget/loan.go
@@ -11,6 +11,8 @@
 	LoanLife   = time.Second
 	BorrowLife = LoanLife * 99 / 100
 	LenderLife = LoanLife * 102 / 100
+	// LeastLoan is the smallest loan as a part of the cost of an admission.
+	LeastLoan = 0.05
 	// MaxLent bounds the loans of one budget that a lender remembers; above it nothing is lent.
 	MaxLent = 256
 	// MaxBorrowed bounds the loans and the open requests of one budget at a borrower; above it none is requested.
@@ -23,7 +25,7 @@
 	// ID is unique among all requests of a borrower, restarts included.
 	ID     uint64  `cbor:"id"`
 	Amount float64 `cbor:"amount"`
-	// Unit is the largest cost of a single admission; less than a tenth of it is not worth a loan.
+	// Unit is the largest cost of a single admission; less than LeastLoan of it is not worth a loan.
 	Unit float64 `cbor:"unit"`
 }
 
@@ -73,7 +75,7 @@
 		reserve = 0
 	}
 	amount := min(r.Amount, b.Level-reserve)
-	if !(amount > 0) || amount < r.Unit/10 || life <= 0 || len(k.lent) >= MaxLent || k.Knows(borrower, r.ID) {
+	if !(amount > 0) || amount < r.Unit*LeastLoan || life <= 0 || len(k.lent) >= MaxLent || k.Knows(borrower, r.ID) {
 		return k, b, grant
 	}
 	b.Level -= amount
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -58,6 +58,14 @@
 	}
 	next, _ := l.Join(ledger.Member{Host: "c"})
 	restarted, _ := l.Join(ledger.Member{Host: "b"})
+	// A renewal by the dropped witness c may hold for as long as the remaining witness a must still wait.
+	dropped, err := next.Forget("c")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if w := (Witness{}).Learned(0, "a", next).Learned(late, "a", dropped); w.Silent(terms, late+terms.Witness-1, b, dropped.Epoch) {
+		t.Error("votes at once after another witness was dropped")
+	}
 	for _, c := range []struct {
 		name  string
 		w     Witness
--- a/core/lease/witness.go
+++ b/core/lease/witness.go
@@ -26,7 +26,10 @@
 // record is what a witness knows about a member that it witnesses.
 type record struct {
 	incarnation uint64
-	// last is the time of the last renewal, or of the moment when the witness learned of its duty.
+	// since is the member's WitnessesSince.
+	since uint64
+	// last is the time of the last renewal, or of the moment when the witness learned of its duty or of
+	// a change of since.
 	last time.Duration
 	// promised is the epoch at which the witness voted to fence the member, or 0.
 	promised uint64
@@ -50,7 +53,11 @@
 		}
 		r, ok := w.records[m.Host]
 		if !ok || r.incarnation != m.Incarnation {
-			r = record{incarnation: m.Incarnation, last: now}
+			r = record{incarnation: m.Incarnation}
+			ok = false
+		}
+		if !ok || r.since != m.WitnessesSince {
+			r.since, r.last = m.WitnessesSince, now
 		}
 		if r.promised < l.Epoch {
 			r.promised = 0
--- a/core/ledger/assign.go
+++ b/core/ledger/assign.go
@@ -18,9 +18,12 @@
 	}
 	for i := range l.Members {
 		m := &l.Members[i]
-		had := len(m.Witnesses) > 0
+		had := len(m.Witnesses)
 		m.Witnesses = slices.DeleteFunc(m.Witnesses, func(w string) bool { return l.index(w) < 0 })
-		if !had && m.Host != actor {
+		if len(m.Witnesses) < had {
+			m.WitnessesSince = l.Epoch
+		}
+		if had == 0 && m.Host != actor {
 			continue
 		}
 		want := 2
--- a/core/ledger/codec.go
+++ b/core/ledger/codec.go
@@ -56,6 +56,8 @@
 			return errors.Newf("members[%d]: host %q is not in ascending order", i, m.Host)
 		case m.Incarnation == 0 || m.Incarnation > l.Epoch:
 			return errors.Newf("members[%d]: incarnation %d is not in 1 to %d", i, m.Incarnation, l.Epoch)
+		case m.WitnessesSince > l.Epoch:
+			return errors.Newf("members[%d]: witnesses-since %d is not in 0 to %d", i, m.WitnessesSince, l.Epoch)
 		case len(m.Witnesses) > MaxWitnesses:
 			return errors.Newf("members[%d]: %d witnesses, accepted are at most %d", i, len(m.Witnesses), MaxWitnesses)
 		}
--- a/core/ledger/transitions.go
+++ b/core/ledger/transitions.go
@@ -44,7 +44,7 @@
 	n := l.next()
 	m.Incarnation, m.Leaving, m.Witnesses = n.Epoch, false, nil
 	if i := n.index(m.Host); i >= 0 {
-		m.Witnesses = n.Members[i].Witnesses
+		m.Witnesses, m.WitnessesSince = n.Members[i].Witnesses, n.Members[i].WitnessesSince
 		n.Members[i] = m
 		for s := range n.Slots {
 			if n.Slots[s].Holder == m.Host {
--- a/core/ledger/types.go
+++ b/core/ledger/types.go
@@ -26,7 +26,10 @@
 	// lease always, so only the member itself may go from none to some (Adopt).
 	// A witness is dropped only when it is no longer a member.
 	Witnesses []string `json:"witnesses,omitempty"`
-	Leaving   bool     `json:"leaving,omitempty"`
+	// WitnessesSince is the epoch at which a witness was last dropped, or 0. The remaining witnesses count the
+	// member's silence anew from then, because a renewal by the dropped one may still hold.
+	WitnessesSince uint64 `json:"witnesses-since,omitempty"`
+	Leaving        bool   `json:"leaving,omitempty"`
 }
 
 // Owner is one incarnation of a host.
--- a/host/budgets/cell.go
+++ b/host/budgets/cell.go
@@ -111,6 +111,16 @@
 	return tokens
 }
 
+// ahead returns the tokens to have at hand beyond those that admissions wait for. Demand above the rate cannot
+// last, and less than one admission is not worth a loan before it is asked for.
+func (c *cell) ahead() float64 {
+	tokens := min(c.demand, c.limits.Rate) * need.Seconds()
+	if tokens < c.unit {
+		return 0
+	}
+	return tokens
+}
+
 func (c *cell) wakeWaiters() {
 	if c.wake != nil {
 		close(c.wake)
--- a/host/budgets/node_loans.go
+++ b/host/budgets/node_loans.go
@@ -1,6 +1,7 @@
 package budgets
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -70,8 +71,10 @@
 		c.mu.Lock()
 		c.book, c.bucket = c.book.Expire(now, c.bucket)
 		n.measure(c, now)
+		// Sparse demand keeps no borrowed tokens, because another host may need the whole token.
+		idle := c.waiting == 0 && c.ahead() == 0
 		c.loans = slices.DeleteFunc(c.loans, func(l budget.Loan) bool {
-			closed := l.Left <= 0 || now >= l.Until-closeBefore
+			closed := l.Left <= 0 || now >= l.Until-closeBefore || idle
 			if closed {
 				b := batch(l.Lender)
 				b.Settlements = append(b.Settlements, l.Settlement(c.name))
@@ -102,7 +105,8 @@
 
 // request asks lenders for what the cell is short of, those with known tokens and of the own region first.
 func (n *node) request(c *cell, now time.Duration, valid bool, batch func(string) *loanRequestMessage) {
-	wanted := c.demand*need.Seconds() + c.waiting
+	ahead := c.ahead()
+	wanted := ahead + c.waiting
 	c.asked = slices.DeleteFunc(c.asked, func(o open) bool { return now-o.sent >= budget.BorrowLife })
 	have := c.usable(now, valid)
 	for _, o := range c.asked {
@@ -114,37 +118,68 @@
 		c.scarce = false
 		return
 	}
-	// Half a need more than is missing, so that not every tick asks.
-	short := max(wanted*1.5-have, min(c.unit, wanted))
-	share := c.limits.Burst / float64(c.limits.Shares())
-	rate := c.limits.Rate / float64(c.limits.Shares())
-	asked, total, first := 0, 0.0, n.rng.IntN(len(c.lenders))
-	for pass := range 2 {
-		for k := range c.lenders {
-			l := c.lenders[(first+k)%len(c.lenders)]
-			if l.near != (pass == 0) {
-				continue
-			}
-			full := share * float64(l.shares)
-			level := full
-			if h, ok := c.hints[l.host]; ok && now-h.at < hintLife {
-				level = min(full, h.left+rate*float64(l.shares)*(now-h.at).Seconds())
-			}
-			total += level
-			if short <= 0 || asked >= fanOut || level < c.unit/2 || now < n.lastTo[l.host]+tickEvery ||
-				len(c.asked)+len(c.loans) >= budget.MaxBorrowed {
-				continue
-			}
-			n.loanID++
-			r := budget.Request{Name: c.name, ID: n.loanID, Amount: min(short, level), Unit: c.unit}
-			c.asked = append(c.asked, open{r.ID, l.host, r.Amount, now})
-			b := batch(l.host)
-			b.Requests = append(b.Requests, r)
-			short -= r.Amount
-			asked++
+	lenders, total := n.ranked(c, now, ahead == 0)
+	// Parts of a token that cannot be completed would only be missing elsewhere.
+	coming := c.limits.Rate * patience.Seconds()
+	c.scarce = have+total+coming < c.unit
+	if ahead == 0 && have+total < min(c.unit, wanted) {
+		return
+	}
+	// Half a need more than is missing, so that not every tick asks. Levels are estimates, and the last part of
+	// a token is the hardest to get, so a little more is asked for.
+	short, asked := wanted+ahead/2-have+c.unit*budget.LeastLoan/2, 0
+	for _, l := range lenders {
+		if short <= 0 || asked >= fanOut || len(c.asked)+len(c.loans) >= budget.MaxBorrowed {
+			return
+		}
+		if l.level < c.unit*budget.LeastLoan || now < n.lastTo[l.host]+tickEvery {
+			continue
 		}
+		n.loanID++
+		r := budget.Request{Name: c.name, ID: n.loanID, Amount: min(max(short, c.unit*budget.LeastLoan), l.level), Unit: c.unit}
+		c.asked = append(c.asked, open{r.ID, l.host, r.Amount, now})
+		c.hints[l.host] = hint{l.level - r.Amount, now}
+		b := batch(l.host)
+		b.Requests = append(b.Requests, r)
+		short -= r.Amount
+		asked++
 	}
-	c.scarce = asked == 0 && have+total < c.unit
+}
+
+// candidate is a lender with the level that it is estimated to have.
+type candidate struct {
+	lender
+	level float64
+}
+
+// ranked returns the lenders in the order in which to ask, and the sum of their estimated levels. Sparse demand
+// asks the fullest first, because a full bucket wastes its refill; other demand the own region first.
+func (n *node) ranked(c *cell, now time.Duration, sparse bool) (ranked []candidate, total float64) {
+	shares := float64(c.limits.Shares())
+	ranked = make([]candidate, 0, len(c.lenders))
+	first := n.rng.IntN(len(c.lenders))
+	for k := range c.lenders {
+		l := c.lenders[(first+k)%len(c.lenders)]
+		part := float64(l.shares) / shares
+		level := c.limits.Burst * part
+		if h, ok := c.hints[l.host]; ok && now-h.at < hintLife {
+			level = min(level, h.left+c.limits.Rate*part*(now-h.at).Seconds())
+		}
+		total += max(0, level)
+		ranked = append(ranked, candidate{l, level})
+	}
+	slices.SortStableFunc(ranked, func(a, b candidate) int {
+		switch {
+		case sparse && a.level != b.level:
+			return cmp.Compare(b.level, a.level)
+		case a.near == b.near:
+			return 0
+		case a.near:
+			return -1
+		}
+		return 1
+	})
+	return ranked, total
 }
 
 // loanAsked lends what this host can spare and takes note of closed loans.
@@ -170,7 +205,7 @@
 		c.book, c.bucket = c.book.Expire(now, c.bucket)
 		if !c.book.Knows(from, r.ID) {
 			var g budget.Grant
-			c.book, c.bucket, g = c.book.Lend(now, c.bucket, from, r, c.demand*need.Seconds()+c.waiting, life)
+			c.book, c.bucket, g = c.book.Lend(now, c.bucket, from, r, c.ahead()+c.waiting, life)
 			if n.defects.noOutstanding {
 				c.bucket.Outstanding = 0
 			}
--- /dev/null
+++ b/host/budgets/refusals_test.go
@@ -0,0 +1,222 @@
+package budgets
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"vanillatally/core/budget"
+	"vanillatally/io/store"
+)
+
+const (
+	fleetSize = 9
+	simWait   = 250 * time.Millisecond
+	load      = 0.9
+)
+
+// request waits at a host for tokens until end.
+type request struct {
+	team string
+	end  time.Duration
+}
+
+// scheme counts what a way of dividing the limits does with the requests.
+type scheme struct {
+	waiting map[string][]request
+	// served and lost count the admissions and the refusals, by team.
+	served, lost map[string]float64
+}
+
+// serve offers the requests that wait at a host, in order, to take and returns whether any still wait.
+func (s *scheme) serve(now time.Duration, host string, take func(team string) bool, gone func(team string)) bool {
+	kept := s.waiting[host][:0]
+	for _, r := range s.waiting[host] {
+		switch {
+		case take(r.team):
+			s.served[r.team]++
+			gone(r.team)
+		case now >= r.end:
+			s.lost[r.team]++
+			gone(r.team)
+		default:
+			kept = append(kept, r)
+		}
+	}
+	s.waiting[host] = kept
+	return len(kept) > 0
+}
+
+// part returns the part of the requests that the scheme refused, and a text with the counts by team.
+func (s *scheme) part(teams []string) (part float64, text string) {
+	lost, all := 0.0, 0.0
+	for _, team := range teams {
+		due := s.lost[team] + s.served[team]
+		lost, all = lost+s.lost[team], all+due
+		text += fmt.Sprintf(", %s %.0f/%.0f", team, s.lost[team], due)
+	}
+	return lost / max(1, all), fmt.Sprintf("%.4f%%%s", 100*lost/max(1, all), text)
+}
+
+// traffic offers the same requests to a simulated fleet and to the equal static division, the baseline. All are
+// within rate: they are those Poisson arrivals that a single bucket for the whole fleet admits.
+type traffic struct {
+	*simulation
+	lending, equal *scheme
+	offered        map[string]budget.Bucket
+	division       map[string]budget.Bucket
+	// weights returns each host's part of the demand.
+	weights func(host int) float64
+}
+
+func newTraffic(seed uint64) *traffic {
+	tr := &traffic{
+		simulation: newSimulation(seed, map[string]budget.Limits{
+			"large": {Rate: 900, Burst: 900}, "medium": {Rate: 100, Burst: 50}, "tiny": {Rate: 2, Burst: 3},
+		}),
+		offered: map[string]budget.Bucket{}, division: map[string]budget.Bucket{},
+		lending: &scheme{waiting: map[string][]request{}}, equal: &scheme{waiting: map[string][]request{}},
+	}
+	// 1.5 ms between failure domains, 55 ms between regions, both for a round trip.
+	tr.latency = func(from, to string) time.Duration {
+		if from[0] == to[0] {
+			return 750 * time.Microsecond
+		}
+		return 27500 * time.Microsecond
+	}
+	for i := range fleetSize {
+		tr.start(host(i), 1)
+	}
+	for name, l := range tr.limits {
+		tr.offered[name] = l.EqualDivision(1, 0)
+		for i := range fleetSize {
+			tr.division[name+host(i)] = l.EqualDivision(fleetSize, 0)
+		}
+	}
+	return tr
+}
+
+func host(i int) string { return fmt.Sprintf("%c-%d", 'a'+i%3, i) }
+
+// run offers demand for d.
+func (tr *traffic) run(d time.Duration) {
+	for _, s := range []*scheme{tr.lending, tr.equal} {
+		s.served, s.lost = map[string]float64{}, map[string]float64{}
+	}
+	const step = 5 * time.Millisecond
+	for end := tr.now + d; tr.now < end; {
+		tr.step(step)
+		total := 0.0
+		for i := range fleetSize + 1 {
+			if tr.hosts[host(i)] != nil {
+				total += tr.weights(i)
+			}
+		}
+		for i := range fleetSize + 1 {
+			id := host(i)
+			if tr.hosts[id] == nil {
+				continue
+			}
+			for _, team := range sortedKeys(tr.limits) {
+				for range tr.poisson(load * tr.limits[team].Rate * step.Seconds() * tr.weights(i) / total) {
+					tr.arrive(id, team)
+				}
+			}
+			tr.serve(tr.hosts[id])
+		}
+	}
+}
+
+func (tr *traffic) poisson(mean float64) (n int) {
+	for p := tr.rng.Float64(); p > math.Exp(-mean); p *= tr.rng.Float64() {
+		n++
+	}
+	return n
+}
+
+func (tr *traffic) arrive(id, team string) {
+	b, ok := tr.offered[team].Take(tr.now, 1)
+	if tr.offered[team] = b; !ok {
+		return
+	}
+	c := (*tr.hosts[id].node.cells.Load())[team]
+	c.attempted++
+	c.waiting++
+	for _, s := range []*scheme{tr.lending, tr.equal} {
+		s.waiting[id] = append(s.waiting[id], request{team, tr.now + simWait})
+	}
+}
+
+// serve lets both schemes serve what waits at a host.
+func (tr *traffic) serve(h *simHost) {
+	now, cells := h.clock(tr.simulation), *h.node.cells.Load()
+	short := tr.lending.serve(tr.now, h.id, func(team string) bool {
+		return cells[team].take(now, 1, h.node.valid(now))
+	}, func(team string) { cells[team].waiting-- })
+	if short {
+		h.node.borrow(now)
+		tr.flush(h)
+	}
+	tr.equal.serve(tr.now, h.id, func(team string) (ok bool) {
+		tr.division[team+h.id], ok = tr.division[team+h.id].Take(tr.now, 1)
+		return ok
+	}, func(string) {})
+}
+
+func only(hosts ...int) func(int) float64 {
+	return func(i int) float64 {
+		for _, h := range hosts {
+			if h == i {
+				return 1
+			}
+		}
+		return 1e-9
+	}
+}
+
+// Guards against refusals of requests within rate and burst: at most 0.1% in steady state for any mix and 1% in
+// the 5 s after a change. The bound after a death in an outage of the store is the dead host's share.
+// VANILLATALLY_OUTAGE is the length of the outage in seconds; 3600 was measured.
+func TestRefusalsWithinRate(t *testing.T) {
+	outage := time.Duration(environment("VANILLATALLY_OUTAGE", 20)) * time.Second
+	steady := time.Duration(environment("VANILLATALLY_STEADY", 20)) * time.Second
+	zipf := func(i int) float64 { return 1 / float64(i+1) }
+	down := func(tr *traffic) { tr.store.SetFaults(store.Faults{Down: true}) }
+	kill := func(tr *traffic) { delete(tr.hosts, host(4)) }
+	for _, c := range []struct {
+		name    string
+		weights func(int) float64
+		event   func(*traffic)
+		during  time.Duration
+		bound   float64
+	}{
+		{"steady, even", func(int) float64 { return 1 }, nil, steady, 0.001},
+		{"steady, all on one host", only(0), nil, steady, 0.001},
+		{"steady, two hosts of one region", only(0, 3), nil, steady, 0.001},
+		{"steady, zipf", zipf, nil, steady, 0.001},
+		{"host dies, even", func(int) float64 { return 1 }, kill, 5 * time.Second, 0.01},
+		{"host dies, all on another", only(0), kill, 5 * time.Second, 0.01},
+		{"host joins", zipf, func(tr *traffic) { tr.start(host(fleetSize), 1) }, 5 * time.Second, 0.01},
+		{"demand moves at once", only(0), func(tr *traffic) { tr.weights = only(7) }, 5 * time.Second, 0.01},
+		{"store outage, all on one host", only(0), down, outage, 0.001},
+		{"store outage, demand moves", only(0), func(tr *traffic) { down(tr); tr.weights = only(7) }, 5 * time.Second, 0.01},
+		{"host dies in an outage", zipf, func(tr *traffic) { down(tr); kill(tr) }, 20 * time.Second, 8.0 / 64},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tr := newTraffic(1)
+			tr.weights = c.weights
+			tr.run(10 * time.Second)
+			if c.event != nil {
+				c.event(tr)
+			}
+			tr.run(c.during)
+			refused, text := tr.lending.part(sortedKeys(tr.limits))
+			_, baseline := tr.equal.part(sortedKeys(tr.limits))
+			t.Logf("%s: refused %s; baseline %s", c.name, text, baseline)
+			if refused > c.bound {
+				t.Errorf("%.4f%% refused within rate, accepted are %.1f%%", refused*100, c.bound*100)
+			}
+		})
+	}
+}
--- a/host/budgets/simulation_test.go
+++ b/host/budgets/simulation_test.go
@@ -17,19 +17,21 @@
 
 // simulation runs nodes in simulated time. Messages may be lost, delayed, duplicated and so reordered.
 type simulation struct {
-	now    time.Duration
-	rng    *rand.Rand
-	store  lateStore
-	hosts  map[string]*simHost
-	queue  []simEvent
-	loss   float64
-	twice  float64
-	delay  time.Duration
-	cut    map[[2]string]bool
-	setup  func(*node)
-	factor float64
-	terms  lease.Terms
-	limits map[string]budget.Limits
+	now   time.Duration
+	rng   *rand.Rand
+	store lateStore
+	hosts map[string]*simHost
+	queue []simEvent
+	loss  float64
+	twice float64
+	delay time.Duration
+	cut   map[[2]string]bool
+	// latency replaces delay when it is set.
+	latency func(from, to string) time.Duration
+	setup   func(*node)
+	factor  float64
+	terms   lease.Terms
+	limits  map[string]budget.Limits
 	// excess is, by budget, the worst sum of admissions over an interval minus rate times its length.
 	excess  map[string]float64
 	last    map[string]time.Duration
@@ -159,6 +161,9 @@
 				continue
 			}
 			at := s.now + time.Duration(s.rng.Int64N(int64(s.delay)+1))
+			if s.latency != nil {
+				at = s.now + s.latency(h.id, m.to)
+			}
 			s.queue = append(s.queue, simEvent{at, h.id, m.to, m.body})
 		}
 	}
