Drive shifts and rollouts with a fenced lease

Cause: moves have to go on when their driver dies, and a bad version has to lose its traffic on every host with the store down and the driver dead. Change: a driver lease with a fencing version in the move's store object, steps recorded by conditional put before they are in force, takeover after 15 s, vetoes by broadcast that also ride on the evidence of each second, local tests at each host, shifts to one receiver in turns, and a hot path without locks. Result: host/moves tests pass; they first failed with the store down, where a driver that had learned its successor's record wrote on that version, and now check the writer of each record.

--- /dev/null
+++ b/host/moves/fleet_test.go
@@ -0,0 +1,286 @@
+package moves_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"vanillatally/core/config"
+	"vanillatally/core/membership"
+	"vanillatally/core/rollout"
+	"vanillatally/core/shift"
+	"vanillatally/host/configs"
+	"vanillatally/host/moves"
+	"vanillatally/io/peers"
+	"vanillatally/io/store"
+)
+
+// fleet is hosts in one process that run moves over an in-memory store and network.
+type fleet struct {
+	t       testing.TB
+	objects *recorder
+	network *peers.Network
+	group   errgroup.Group
+	ctx     context.Context
+	stop    context.CancelFunc
+	hosts   []*host
+	current config.Configuration
+	random  *rand.Rand
+	// failing is the share of the new version's requests that fail; unusable marks a place.
+	failing  float64
+	unusable atomic.Pointer[string]
+	rate     int
+	mu       sync.Mutex
+	dead     map[string]bool
+	// newAt is the time of the last request that went to the new version at each host.
+	newAt map[string]time.Time
+	sent  int
+}
+
+type host struct {
+	*moves.Service
+	fleet  *fleet
+	id     string
+	caller peers.Caller
+	stop   context.CancelFunc
+	fresh  atomic.Bool
+	store  *lossy
+}
+
+// recorder is the store; it checks that the steps of a move are those of one driver at a time.
+type recorder struct {
+	*store.Memory
+	t       testing.TB
+	mu      sync.Mutex
+	drivers map[string]string
+	fence   map[string]uint64
+	highest map[string]float64
+}
+
+func (r *recorder) Put(ctx context.Context, key string, value []byte, expect store.Version) (store.Version, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	version, err := r.Memory.Put(ctx, key, value, expect)
+	if object, getErr := r.Memory.Get(ctx, key); getErr != nil || object.Version != expect+1 || string(object.Value) != string(value) {
+		return version, err
+	}
+	var rec moves.Record
+	if json.Unmarshal(value, &rec) != nil {
+		return version, err
+	}
+	id := fmt.Sprintf("%s/%d", key, rec.Fence)
+	if holder, ok := r.drivers[id]; rec.Fence < r.fence[key] || ok && holder != rec.Driver {
+		r.t.Errorf("%s: a step of %s with fencing version %d after %d of %s", key, rec.Driver, rec.Fence, r.fence[key], holder)
+	}
+	r.drivers[id], r.fence[key] = rec.Driver, rec.Fence
+	r.highest[key] = max(r.highest[key], rec.Share)
+	return version, err
+}
+
+func (r *recorder) recorded(key string) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.highest[key]
+}
+
+// lossy is the store as one host sees it.
+type lossy struct {
+	store.Store
+	t    testing.TB
+	host string
+	down atomic.Bool
+	// delay is slept here and not in the store, because the recorder holds its lock meanwhile.
+	delay atomic.Int64
+}
+
+func (l *lossy) Get(ctx context.Context, key string) (store.Object, error) {
+	time.Sleep(time.Duration(l.delay.Load()))
+	if l.down.Load() {
+		return store.Object{}, store.ErrUnavailable
+	}
+	return l.Store.Get(ctx, key)
+}
+
+func (l *lossy) Put(ctx context.Context, key string, value []byte, expect store.Version) (store.Version, error) {
+	time.Sleep(time.Duration(l.delay.Load()))
+	if l.down.Load() {
+		return 0, store.ErrUnavailable
+	}
+	var rec moves.Record
+	if err := json.Unmarshal(value, &rec); err != nil || rec.Driver != l.host {
+		l.t.Errorf("%s writes a record of %s: %v", l.host, rec.Driver, err)
+	}
+	return l.Store.Put(ctx, key, value, expect)
+}
+
+func newFleet(t testing.TB, hosts int, c config.Configuration, seed uint64) *fleet {
+	f := &fleet{
+		t: t, network: peers.NewNetwork(), current: c.Indexed(), random: rand.New(rand.NewPCG(seed, 7)), rate: 4,
+		dead: map[string]bool{}, newAt: map[string]time.Time{},
+		objects: &recorder{Memory: store.NewMemory(0, 0), t: t, drivers: map[string]string{}, fence: map[string]uint64{}, highest: map[string]float64{}},
+	}
+	f.ctx, f.stop = context.WithCancel(context.Background())
+	for i := range hosts {
+		h := &host{fleet: f, id: fmt.Sprintf("host-%d", i), store: &lossy{Store: f.objects, t: t, host: fmt.Sprintf("host-%d", i)}}
+		h.fresh.Store(true)
+		table := peers.NewTable()
+		h.caller = f.network.Join(h.id, table)
+		h.Service = moves.New(moves.Options{
+			Host: h.id, Incarnation: 1, Store: h.store, Peers: h.caller, Table: table, Members: h, Configs: h, Places: f, Seed: seed + uint64(i),
+		})
+		f.hosts = append(f.hosts, h)
+	}
+	for _, h := range f.hosts {
+		var ctx context.Context
+		ctx, h.stop = context.WithCancel(f.ctx)
+		f.group.Go(func() error { return h.Run(ctx) })
+	}
+	return f
+}
+
+func (f *fleet) close() {
+	f.stop()
+	if err := f.group.Wait(); err != nil {
+		f.t.Error(err)
+	}
+}
+
+// kill stops a host and cuts it off.
+func (f *fleet) kill(h *host) {
+	h.stop()
+	f.network.Leave(h.id)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dead[h.id] = true
+}
+
+// cut separates one host from its peers.
+func (f *fleet) cut(h *host, lost bool) {
+	for _, other := range f.hosts {
+		f.network.Cut(h.id, other.id, lost)
+		f.network.Cut(other.id, h.id, lost)
+	}
+}
+
+func (h *host) Members() (members []membership.Member) {
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	for i := range h.fleet.hosts {
+		m := membership.Member{Host: fmt.Sprintf("host-%d", i), State: membership.Alive}
+		if h.fleet.dead[m.Host] {
+			m.State = membership.Dead
+		}
+		members = append(members, m)
+	}
+	return members
+}
+
+func (h *host) Broadcast(ctx context.Context, kind string, body []byte) error {
+	for _, m := range h.Members() {
+		if m.Host != h.id && m.State == membership.Alive {
+			if err := h.caller.Send(ctx, m.Host, kind, body); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (h *host) Current() *config.Configuration { return &h.fleet.current }
+
+func (h *host) Fresh(string) bool { return h.fresh.Load() }
+
+func (h *host) Subscribe(fn func(*config.Configuration)) { fn(&h.fleet.current) }
+
+func (h *host) Apply(context.Context, uint64, []config.Edit) (configs.Outcome, error) {
+	return configs.Outcome{State: configs.Accepted}, nil
+}
+
+func (f *fleet) Region(server string) string { return server[:1] }
+
+func (f *fleet) Usable(place string) bool {
+	unusable := f.unusable.Load()
+	return unusable == nil || *unusable != place
+}
+
+func (f *fleet) Load(config.Shift) (to, link shift.Load) {
+	return shift.Load{Use: 0.2, PerShare: 0.3, Known: true}, shift.Load{Known: true}
+}
+
+// run sends traffic through every live host for d, and calls check each 100 ms.
+func (f *fleet) run(d time.Duration, check func()) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		for _, h := range f.hosts {
+			f.mu.Lock()
+			dead := f.dead[h.id]
+			f.mu.Unlock()
+			for range f.rate {
+				if !dead {
+					f.request(h)
+				}
+			}
+		}
+		if check != nil {
+			check()
+		}
+	}
+}
+
+func (f *fleet) request(h *host) {
+	version := h.Version("search", "search", f.random.Float64())
+	region := h.Place("search", "alpha", "a", f.random.Float64())
+	failing := 0.001
+	if version == "v2" {
+		failing += f.failing
+		f.newAt[h.id] = time.Now()
+		f.sent++
+	}
+	h.Observe(rollout.Observation{
+		Service: "search", Version: version, Route: "search", Server: fmt.Sprintf("%s-%d", region, f.random.IntN(6)),
+		Failed: f.random.Float64() < failing, Latency: time.Duration(8+f.random.IntN(5)) * time.Millisecond,
+	})
+}
+
+// driver returns the live host that the newest record of the first move names.
+func (f *fleet) driver() *host {
+	for _, h := range f.hosts {
+		if st := h.Status(); !f.dead[h.id] && len(st) > 0 {
+			for _, other := range f.hosts {
+				if other.id == st[0].Driver {
+					return other
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func configuration(t testing.TB, edits ...config.Edit) config.Configuration {
+	t.Helper()
+	c, err := config.Configuration{}.WithEdits(append([]config.Edit{
+		{Kind: "services", Name: "search", Document: []byte(`{"version":"v1"}`)},
+		{Kind: "routes", Name: "search", Document: []byte(`{"path-prefix":"/","service":"search","class":"prompt","timeout":"1s"}`)},
+		{Kind: "regions", Name: "a", Document: []byte(`{}`)},
+		{Kind: "regions", Name: "b", Document: []byte(`{}`)},
+	}, edits...))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func rolloutEdit(within string) config.Edit {
+	return config.Edit{Kind: "rollouts", Name: "new", Document: fmt.Appendf(nil,
+		`{"service":"search","from":"v1","to":"v2","cap":0.1,"within":%q,"on-too-little-traffic":"revert"}`, within)}
+}
+
+func shiftEdit(name, selector string) config.Edit {
+	return config.Edit{Kind: "shifts", Name: name, Document: fmt.Appendf(nil, `{%s,"from":"a","to":"b","share":0.5,"cap":0.5,"within":"5m"}`, selector)}
+}
--- /dev/null
+++ b/host/moves/moves.go
@@ -0,0 +1,166 @@
+// Package moves runs shifts and rollouts: it drives those that this host holds the lease of, applies the shares of
+// all, and collects their evidence.
+package moves
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"vanillatally/core/config"
+	"vanillatally/core/membership"
+	"vanillatally/core/shift"
+	"vanillatally/host/configs"
+	"vanillatally/io/peers"
+	"vanillatally/io/store"
+)
+
+// Members is what this package needs of the fleet's membership.
+type Members interface {
+	Members() []membership.Member
+	Broadcast(ctx context.Context, kind string, body []byte) error
+}
+
+// Configs is what this package needs of the configuration.
+type Configs interface {
+	Current() *config.Configuration
+	Fresh(team string) bool
+	Subscribe(fn func(*config.Configuration))
+	Apply(ctx context.Context, expect uint64, edits []config.Edit) (configs.Outcome, error)
+}
+
+// Places is what this package needs to know of regions and backend servers. Its methods are called on the hot path,
+// but for Load, and must not block.
+type Places interface {
+	// Region returns the region of a backend server, or the empty string.
+	Region(server string) string
+	// Usable tells whether a region or backend server may receive moved requests.
+	Usable(place string) bool
+	// Load returns the use of the receiver and of the link to it by the shift's traffic.
+	Load(s config.Shift) (to, link shift.Load)
+}
+
+// Options are what New needs. Log may be nil.
+type Options struct {
+	Host string
+	// Incarnation differs for each start of the host.
+	Incarnation uint64
+	Store       store.Store
+	Peers       peers.Caller
+	Table       *peers.Table
+	Members     Members
+	Configs     Configs
+	Places      Places
+	Log         *slog.Logger
+	Seed        uint64
+}
+
+const (
+	// tickEvery is the time between two looks of a driver, and between two batches of evidence.
+	tickEvery = time.Second
+	// renewEvery and takeoverAfter are the driver's lease: a successor waits for two lost renewals and more.
+	renewEvery    = 5 * time.Second
+	takeoverAfter = 15 * time.Second
+	// candidates are the hosts that watch a move's lease; each later one waits for rankDelay longer.
+	candidates = 3
+	rankDelay  = 2 * time.Second
+	// reportedWithin is the age of a host's last evidence at which its measurements count as stopped.
+	reportedWithin = 5 * time.Second
+	// callTimeout bounds each call to the store or a peer.
+	callTimeout = 2 * time.Second
+	// maxMoves bounds the moves in force; further ones, in the order of their names, are not started.
+	maxMoves = 256
+)
+
+// Service runs the moves of the configuration in force.
+type Service struct {
+	opts  Options
+	start time.Time
+	done  chan struct{}
+	// table is what the hot path reads; it is replaced when the configuration changes.
+	table atomic.Pointer[table]
+
+	mu     sync.Mutex
+	random *rand.Rand
+	// reports holds the time of each host's last evidence to this driver, at most one entry for each known host.
+	reports map[string]time.Duration
+	// vetoes numbers this host's vetoes.
+	vetoes uint64
+}
+
+// New returns the service and registers its handlers in Table. Run must be called for it to work.
+func New(opts Options) *Service {
+	if opts.Log == nil {
+		opts.Log = slog.New(slog.DiscardHandler)
+	}
+	s := &Service{
+		opts: opts, start: time.Now(), done: make(chan struct{}), reports: map[string]time.Duration{},
+		random: rand.New(rand.NewPCG(opts.Seed, opts.Incarnation)),
+	}
+	s.table.Store(&table{})
+	s.register(opts.Table)
+	opts.Configs.Subscribe(s.configure)
+	return s
+}
+
+// Run works until ctx ends and closes the done channel when all its goroutines have stopped.
+func (s *Service) Run(ctx context.Context) error {
+	defer close(s.done)
+	group, ctx := errgroup.WithContext(ctx)
+	// Evidence and vetoes have a loop of their own, which a slow store does not hold up.
+	for _, step := range []func(context.Context){s.collect, s.drive} {
+		group.Go(func() error {
+			s.every(ctx, step)
+			return nil
+		})
+	}
+	return group.Wait()
+}
+
+// Done is closed when Run has returned.
+func (s *Service) Done() <-chan struct{} { return s.done }
+
+// every calls step each second; the first call is at a random moment, so that hosts do not act together.
+func (s *Service) every(ctx context.Context, step func(context.Context)) {
+	s.mu.Lock()
+	delay := time.Duration(s.random.Int64N(int64(tickEvery)))
+	s.mu.Unlock()
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return
+		}
+		began := s.now()
+		step(ctx)
+		timer.Reset(max(tickEvery-(s.now()-began), tickEvery/10))
+	}
+}
+
+func (s *Service) now() time.Duration { return time.Since(s.start) }
+
+func (s *Service) alive() (alive []membership.Member) {
+	for _, m := range s.opts.Members.Members() {
+		if m.State == membership.Alive || m.State == membership.Leaving || m.State == membership.Suspected {
+			alive = append(alive, m)
+		}
+	}
+	return alive
+}
+
+// Cancel asks for the end of a move by a change of its document. The driver reverts it.
+func (s *Service) Cancel(ctx context.Context, kind, name string) (configs.Outcome, error) {
+	current := s.opts.Configs.Current()
+	edit, err := cancelled(current, kind, name)
+	if err != nil {
+		return configs.Outcome{}, err
+	}
+	return s.opts.Configs.Apply(ctx, current.Sequence, []config.Edit{edit})
+}
--- /dev/null
+++ b/host/moves/moves_test.go
@@ -0,0 +1,263 @@
+package moves_test
+
+import (
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"vanillatally/core/config"
+	"vanillatally/host/moves"
+	"vanillatally/io/store"
+)
+
+func scenario(t *testing.T, hosts int, c config.Configuration, seed uint64, fn func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, hosts, c, seed)
+		defer f.close()
+		f.network.SetDelay(time.Millisecond)
+		fn(f)
+	})
+}
+
+// check fails when a host sends more to the new version than was recorded, or more than the cap before it is proved.
+func (f *fleet) check(key string, limit float64) func() {
+	return func() {
+		f.t.Helper()
+		for _, h := range f.hosts {
+			for _, st := range h.Status() {
+				if "moves/"+st.Kind+"/"+st.Name != key {
+					continue
+				}
+				if st.Share > f.objects.recorded(key) {
+					f.t.Fatalf("%s has share %v in force, which was not recorded", h.id, st.Share)
+				}
+				if st.Share > limit && (st.Phase == "proving" || st.Kind == "shifts") {
+					f.t.Fatalf("%s has share %v above the cap", h.id, st.Share)
+				}
+			}
+		}
+	}
+}
+
+func (f *fleet) phases(want string) {
+	f.t.Helper()
+	for _, h := range f.hosts {
+		if st := h.Status(); !f.dead[h.id] && st[0].Phase != want {
+			f.t.Fatalf("%s: %+v, want phase %s", h.id, st[0], want)
+		}
+	}
+}
+
+const rolloutKey, shiftKey = "moves/rollouts/new", "moves/shifts/move"
+
+// Guards against good versions that do not finish: undisturbed, when the driver dies or freezes, when the store loses
+// its answers, and when messages are doubled.
+func TestGoodRolloutFinishes(t *testing.T) {
+	for name, fault := range map[string]func(f *fleet){
+		"undisturbed": func(*fleet) {},
+		"driver dies": func(f *fleet) { f.kill(f.driver()) },
+		"driver is cut off": func(f *fleet) {
+			h := f.driver()
+			f.cut(h, true)
+			h.store.down.Store(true)
+			h.fresh.Store(false)
+			f.dead[h.id] = true
+			f.run(30*time.Second, f.check(rolloutKey, 0.1))
+			f.cut(h, false)
+			h.store.down.Store(false)
+			h.fresh.Store(true)
+			f.dead[h.id] = false
+		},
+		"lost answers": func(f *fleet) { f.objects.SetFaults(store.Faults{LoseAnswers: true}) },
+		"doubled":      func(f *fleet) { f.network.SetDoubled(true) },
+		"store outages": func(f *fleet) {
+			f.objects.SetFaults(store.Faults{Down: true})
+			f.run(40*time.Second, f.check(rolloutKey, 0.1))
+			f.objects.SetFaults(store.Faults{})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			scenario(t, 9, configuration(t, rolloutEdit("5m")), 1, func(f *fleet) {
+				f.run(20*time.Second, f.check(rolloutKey, 0.1))
+				fault(f)
+				f.run(280*time.Second, f.check(rolloutKey, 0.1))
+				f.phases("finished")
+			})
+		})
+	}
+}
+
+// Guards against a bad version that gets requests later than 3 s after the evidence: undisturbed, with the store down,
+// with the driver dead as well, and at a host that was cut off meanwhile.
+func TestBadRolloutIsLoweredEverywhere(t *testing.T) {
+	for name, fault := range map[string]func(f *fleet){
+		"undisturbed": func(*fleet) {},
+		"store down":  func(f *fleet) { f.objects.SetFaults(store.Faults{Down: true}) },
+		"store down and driver dead": func(f *fleet) {
+			f.objects.SetFaults(store.Faults{Down: true})
+			f.kill(f.driver())
+		},
+		"one host cut off": func(f *fleet) {
+			f.cut(f.hosts[0], true)
+			f.run(3*time.Second, nil)
+			f.hosts[0].fresh.Store(false)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			scenario(t, 9, configuration(t, rolloutEdit("5m")), 2, func(f *fleet) {
+				f.rate = 20
+				f.run(60*time.Second, f.check(rolloutKey, 0.1))
+				if f.sent == 0 {
+					f.t.Fatal("the new version got no traffic")
+				}
+				fault(f)
+				f.failing = 0.5
+				began, lowered := time.Now(), time.Time{}
+				f.run(60*time.Second, func() {
+					for _, h := range f.hosts {
+						if st := h.Status()[0]; lowered.IsZero() && !f.dead[h.id] && st.Share == 0 && h != f.hosts[0] {
+							lowered = time.Now()
+						}
+					}
+				})
+				if lowered.IsZero() {
+					f.t.Fatal("the bad version was not lowered")
+				}
+				for id, at := range f.newAt {
+					if at.After(lowered.Add(3 * time.Second)) {
+						f.t.Errorf("%s sent a request to the bad version %v after it was lowered", id, at.Sub(lowered))
+					}
+				}
+				f.t.Logf("lowered %v after the fault began", lowered.Sub(began).Round(time.Millisecond))
+				f.objects.SetFaults(store.Faults{})
+				f.cut(f.hosts[0], false)
+				f.hosts[0].fresh.Store(true)
+				f.run(40*time.Second, nil)
+				f.phases("reverted")
+			})
+		})
+	}
+}
+
+// Guards against shifts that pass their cap, keep using a receiver that failed, or do not end.
+func TestShiftMovesAndRoutesAround(t *testing.T) {
+	scenario(t, 3, configuration(t, shiftEdit("move", `"route":"search"`)), 3, func(f *fleet) {
+		check := f.check(shiftKey, 0.5)
+		f.run(60*time.Second, check)
+		receiver := "b"
+		f.unusable.Store(&receiver)
+		f.run(10*time.Second, func() {
+			if place := f.hosts[1].Place("search", "alpha", "a", 0); place != "a" {
+				f.t.Fatalf("a request went to %s, which failed", place)
+			}
+		})
+		f.unusable.Store(nil)
+		f.run(120*time.Second, check)
+		f.phases("done")
+		if st := f.hosts[0].Status()[0]; st.Share != 0.5 || len(st.Steps) < 4 {
+			f.t.Fatalf("%+v", st)
+		}
+	})
+}
+
+// Guards against two shifts that fill the same headroom at the same time.
+func TestShiftsToOneReceiverTakeTurns(t *testing.T) {
+	scenario(t, 3, configuration(t, config.Edit{Kind: "templates", Name: "s", Document: []byte(`{"rate":1,"burst":1}`)},
+		config.Edit{Kind: "teams", Name: "alpha", Document: []byte(`{"template":"s"}`)},
+		shiftEdit("first", `"route":"search"`), shiftEdit("second", `"team":"alpha"`)), 4, func(f *fleet) {
+		f.run(200*time.Second, func() {
+			st := f.hosts[0].Status()
+			if st[0].Phase == "moving" && st[0].Share > 0 && st[1].Share > 0 {
+				f.t.Fatalf("both moved: %v and %v", st[0].Share, st[1].Share)
+			}
+		})
+		f.phases("done")
+	})
+}
+
+// Guards against histories of two or more random faults in which a step is not recorded first, a share passes its cap,
+// two drivers take steps, or a bad version is finished.
+func TestRandomHistories(t *testing.T) {
+	count, first := 6, 1
+	if text := os.Getenv("VANILLATALLY_MOVES_SEEDS"); text != "" {
+		count, _ = strconv.Atoi(text)
+	}
+	if text := os.Getenv("VANILLATALLY_MOVES_FIRST"); text != "" {
+		first, _ = strconv.Atoi(text)
+	}
+	ended := map[string]int{}
+	for seed := first; seed < first+count; seed++ {
+		scenario(t, 5, configuration(t, rolloutEdit("4m"), shiftEdit("move", `"route":"search"`)), uint64(seed), func(f *fleet) {
+			r := rand.New(rand.NewPCG(uint64(seed), 9))
+			bad := r.IntN(2) == 0
+			rolloutCheck, shiftCheck := f.check(rolloutKey, 0.1), f.check(shiftKey, 0.5)
+			for step := 0; step < 26; step++ {
+				f.fault(r)
+				if bad && step == 5 {
+					f.failing = 0.3 + 0.6*r.Float64()
+				}
+				f.run(10*time.Second, func() { rolloutCheck(); shiftCheck() })
+			}
+			f.heal()
+			f.run(60*time.Second, nil)
+			for i, st := range f.hosts[0].Status() {
+				if !map[string]bool{"finished": true, "reverted": true, "done": true}[st.Phase] || i == 0 && bad && st.Phase == "finished" {
+					f.t.Errorf("seed %d, bad %v: %+v", seed, bad, st)
+				}
+				if i == 0 {
+					ended[st.Phase+map[bool]string{true: " bad", false: " good"}[bad]]++
+				}
+			}
+		})
+	}
+	t.Logf("rollouts: %v", ended)
+}
+
+// fault starts or ends a random fault.
+func (f *fleet) fault(r *rand.Rand) {
+	h := f.hosts[r.IntN(len(f.hosts))]
+	switch r.IntN(7) {
+	case 0:
+		f.objects.SetFaults(store.Faults{Down: r.IntN(2) == 0, LoseAnswers: r.IntN(2) == 0})
+		h.store.delay.Store(int64(r.IntN(300)) * int64(time.Millisecond))
+	case 1:
+		f.network.SetDoubled(r.IntN(2) == 0)
+	case 2:
+		f.cut(h, true)
+	case 3:
+		h.store.down.Store(true)
+	case 4:
+		f.network.Cut(h.id, f.hosts[0].id, true)
+	default:
+		f.heal()
+	}
+}
+
+func (f *fleet) heal() {
+	f.objects.SetFaults(store.Faults{})
+	f.network.SetDoubled(false)
+	for _, h := range f.hosts {
+		f.cut(h, false)
+		h.store.down.Store(false)
+		h.store.delay.Store(0)
+	}
+}
+
+// Guards against a hot path that allocates.
+func TestHotPathDoesNotAllocate(t *testing.T) {
+	f := newFleet(t, 1, configuration(t, rolloutEdit("5m"), shiftEdit("move", `"route":"search"`)), 1)
+	defer f.close()
+	if n := testing.AllocsPerRun(100, func() { hotPath(f.hosts[0].Service) }); n != 0 {
+		t.Fatalf("%v allocations, want 0", n)
+	}
+}
+
+func hotPath(s *moves.Service) {
+	s.Version("search", "search", 0.5)
+	s.Place("search", "alpha", "a", 0.5)
+	s.Observe(observation)
+}
--- /dev/null
+++ b/host/moves/shift.go
@@ -0,0 +1,60 @@
+package moves
+
+import (
+	"time"
+
+	"vanillatally/core/rollout"
+	"vanillatally/core/shift"
+)
+
+var shiftVariant = variant{
+	kind: shifts,
+	begin: func(now time.Duration, m *move) machine {
+		return shiftMachine{shift.New(now, shift.NewPlan(m.shift)), m}
+	},
+	resume: func(now time.Duration, m *move, r Record, elapsed time.Duration) machine {
+		return shiftMachine{shift.Resume(now, shift.NewPlan(m.shift), r.Share, r.Retreats, elapsed), m}
+	},
+	local: func(now time.Duration, m *move, hosts int) rollout.Local {
+		// A shift meets cold caches, so that latency is no evidence against it at any time.
+		within := time.Duration(m.shift.Within)
+		return rollout.NewLocal(now, rollout.Plan{Within: within, Warm: 2 * within}, hosts)
+	},
+}
+
+type shiftMachine struct {
+	state shift.State
+	move  *move
+}
+
+func (s shiftMachine) next(now time.Duration, m measurement) (machine, decision) {
+	to, link := m.places.Load(s.move.shift)
+	next, d := s.state.Next(now, shift.Measurement{
+		Batch: m.batch, Complete: m.complete, To: to, Link: link, Dead: !m.places.Usable(s.move.shift.To),
+		Behind: m.behind, Cancelled: m.cancelled, Vetoed: m.vetoed,
+	})
+	switch d {
+	case shift.Raise, shift.Finish:
+		return shiftMachine{next, s.move}, raise
+	case shift.Lower, shift.Revert:
+		return shiftMachine{next, s.move}, lower
+	default:
+		return shiftMachine{next, s.move}, hold
+	}
+}
+
+func (s shiftMachine) fill(now time.Duration, rec *Record) {
+	rec.Phase, rec.Share, rec.Retreats = string(s.state.Phase), s.state.Moved, s.state.Retreats
+	rec.Elapsed, rec.Reason = now-s.state.Started, s.state.Reason
+}
+
+func (s shiftMachine) share() float64 { return s.state.Moved }
+
+func (s shiftMachine) over() bool { return s.state.Phase.Over() }
+
+func (s shiftMachine) describe(_ time.Duration, st *Status) {
+	st.Reason, st.Evidence = s.state.Reason, s.state.Judge.Evidence()
+	if !s.over() {
+		st.NextShare = min(2*s.state.Moved, s.state.Plan.Target)
+	}
+}
