Join shifts and rollouts; stop the demonstration on a signal

Cause: moves were not driven by the host, and demo.sh did not react to a signal while the caller ran, because bash runs a trap only after the program in the foreground has ended. Change: the host drives moves, places requests by them, and tells loads of regions and links; the caller program runs in the background of the script.

--- a/demo.sh
+++ b/demo.sh
@@ -32,10 +32,11 @@
 mkdir -p bin "$run"
 go build -o bin ./cmd/vanillatally ./cmd/standin ./cmd/caller
 
-pids=()
+pids=() caller_pid=""
 stop() {
   trap - EXIT INT TERM
-  # Hosts stop first and gracefully; then the stand-ins. Only processes that this script started are signalled.
+  # The caller stops first and reports. Only processes that this script started are signalled.
+  [ -z "$caller_pid" ] || { kill -TERM "$caller_pid" 2>/dev/null && wait "$caller_pid" 2>/dev/null; }
   for ((i = ${#pids[@]} - 1; i >= 0; i--)); do kill -TERM "${pids[$i]}" 2>/dev/null || true; done
   wait "${pids[@]}" 2>/dev/null || true
 }
@@ -88,11 +89,12 @@
 say "request:  curl -H 'Authorization: Bearer $key' http://$caller$path/1"
 say "operator: VANILLATALLY_CREDENTIAL=$VANILLATALLY_CREDENTIAL bin/vanillatally --address $operator status"
 
+# The caller runs in the background, because a trap waits for a program in the foreground to end.
+limit=()
+[ -z "$duration" ] && say "sending the teams' traffic; interrupt to stop" || limit=(--duration "$duration")
+bin/caller --profile "$files/load.toml" "${limit[@]}" $json &
+caller_pid=$!
+pids+=("$caller_pid")
 status=0
-if [ -n "$duration" ]; then
-  bin/caller --profile "$files/load.toml" --duration "$duration" $json || status=$?
-else
-  say "sending the teams' traffic; interrupt to stop"
-  bin/caller --profile "$files/load.toml" || status=$?
-fi
+wait "$caller_pid" || status=$?
 exit "$status"
--- a/host/control.go
+++ b/host/control.go
@@ -2,11 +2,19 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"vanillatally/core/config"
+	"vanillatally/core/rollout"
+	"vanillatally/core/shift"
 	"vanillatally/host/configs"
+	"vanillatally/host/moves"
 	"vanillatally/io/events"
 	"vanillatally/io/operators"
 )
@@ -48,6 +56,51 @@
 	return h.log.Decisions(kind, subject, limit)
 }
 
+// moveStatus describes the moves to operators.
+func (h *Host) moveStatus() []operators.Move {
+	var all []operators.Move
+	for _, m := range h.moves.Status() {
+		move := operators.Move{
+			Name: m.Name, Kind: strings.TrimSuffix(m.Kind, "s"), State: moveState(m), Share: m.Share, Driver: m.Driver,
+			NextStep: fmt.Sprintf("share %.3f in %s", m.NextShare, m.NextIn.Round(time.Millisecond)),
+			Deadline: m.DeadlineIn.Round(time.Second).String(), Reason: m.Reason, Evidence: describeEvidence(m),
+		}
+		if m.Driver != h.settings.Host {
+			move.NextStep = "known at the driver"
+		}
+		all = append(all, move)
+	}
+	return all
+}
+
+// moveState names the end of both kinds of move alike; the phases in between keep their names.
+func moveState(m moves.Status) string {
+	switch m.Phase {
+	case "":
+		return "waiting"
+	case string(rollout.Finished):
+		return string(shift.Done)
+	}
+	return m.Phase
+}
+
+func describeEvidence(m moves.Status) string {
+	var parts []string
+	for _, route := range slices.Sorted(maps.Keys(m.Evidence)) {
+		parts = append(parts, fmt.Sprintf("%s: %+v", route, m.Evidence[route]))
+	}
+	if m.TooLittleTraffic {
+		parts = append(parts, "too little traffic to judge")
+	}
+	if len(m.Missing) > 0 {
+		parts = append(parts, "no measurements from "+strings.Join(m.Missing, ", "))
+	}
+	for _, veto := range m.Vetoes {
+		parts = append(parts, "veto: "+veto)
+	}
+	return strings.Join(parts, "; ")
+}
+
 // Status returns what the host knows about itself and the fleet.
 func (h *Host) Status() operators.Status {
 	budgets := h.budgets.Status()
@@ -56,6 +109,7 @@
 		Ready: h.Ready(), Draining: h.draining.Load(),
 		Sequence: h.configs.Sequence(), Fresh: h.configs.Fresh(""),
 		LeaseValid: budgets.LeaseValid, LedgerEpoch: budgets.Epoch, Slots: budgets.Held,
+		Moves: h.moveStatus(), InFlight: h.requests.InFlight(),
 		Members: h.members.Members(), BackendServers: len(h.servers.get()),
 	}
 }
--- a/host/host.go
+++ b/host/host.go
@@ -20,6 +20,7 @@
 	"vanillatally/host/configs"
 	"vanillatally/host/lookup"
 	"vanillatally/host/members"
+	"vanillatally/host/moves"
 	"vanillatally/host/request"
 	"vanillatally/io/callers"
 	"vanillatally/io/events"
@@ -54,6 +55,8 @@
 	claims   *claims.Service
 	lookups  *lookup.Service
 	blocks   *blocks
+	places   *places
+	moves    *moves.Service
 	requests *request.Service
 	callers  *callers.Server
 
@@ -79,7 +82,8 @@
 		Host: s.Host, Secret: []byte(s.PeerSecret), Table: table,
 		Address: func(host string) (string, bool) { return h.address(host) },
 	})
-	h.servers = newServers(list, log)
+	h.places = newPlaces(h)
+	h.servers = newServers(list, log, h.places.rebuild)
 	h.members = h.newMembers(table, list)
 	h.configs = configs.New(configs.Options{
 		Host: s.Host, Region: s.Region, Store: objects, Peers: h.node, Table: table, Members: h.members,
@@ -101,6 +105,10 @@
 		Members: h.members.Members, Configuration: h.configs.Current, BackendServers: h.servers.get,
 		ShareHolders: h.shareHolders, Blocks: h.blocks.all, Now: h.now, TTL: time.Duration(s.Limits.LookupTTL),
 	})
+	h.moves = moves.New(moves.Options{
+		Host: s.Host, Incarnation: uint64(h.start.UnixMilli()), Store: objects, Peers: h.node, Table: table,
+		Members: h.members, Configs: h.configs, Places: h.places, Log: log.Logger(), Seed: uint64(h.start.UnixNano()),
+	})
 	h.requests = h.newRequests(table)
 	h.callers = callers.New(callers.Options{
 		Requests: h.requests, Lookup: h.lookups.Handler(),
@@ -155,7 +163,7 @@
 	requests := request.New(request.Options{
 		Host: h.settings.Host, Region: h.settings.Region, FailureDomain: h.settings.FailureDomain,
 		Configuration: h.configs.Current, Fresh: h.configs.Fresh, BackendServers: h.servers.get,
-		Admitter: h.budgets, Claims: h.claims, Link: h.admitLink, Notify: h.notifyQuarantine, Hook: h.hook,
+		Admitter: h.budgets, Claims: h.claims, Moves: h.moves, Link: h.admitLink, Notify: h.notifyQuarantine, Hook: h.hook,
 	})
 	peers.Handle(table, quarantineKind, func(_ context.Context, _ string, notice quarantine.Notice) (struct{}, error) {
 		requests.HandleNotice(notice)
@@ -221,7 +229,7 @@
 		group.Go(func() error { return serve(server, listeners[i]) })
 	}
 	runs := []func(context.Context) error{
-		h.servers.run, h.members.Run, h.configs.Run, h.budgets.Run, h.claims.Run, h.lookups.Run, h.blocks.run, h.requests.Run,
+		h.servers.run, h.members.Run, h.configs.Run, h.budgets.Run, h.claims.Run, h.lookups.Run, h.blocks.run, h.moves.Run, h.requests.Run,
 	}
 	for _, run := range runs {
 		group.Go(func() error { return run(parts) })
--- a/host/platform.go
+++ b/host/platform.go
@@ -20,11 +20,13 @@
 	log  *events.Log
 	// known is replaced as a whole and never changed.
 	known atomic.Pointer[[]platform.BackendServer]
-	done  chan struct{}
+	// onRead is called with each list that was read.
+	onRead func([]platform.BackendServer)
+	done   chan struct{}
 }
 
-func newServers(list platform.List, log *events.Log) *servers {
-	s := &servers{list: list, log: log, done: make(chan struct{})}
+func newServers(list platform.List, log *events.Log, onRead func([]platform.BackendServer)) *servers {
+	s := &servers{list: list, log: log, onRead: onRead, done: make(chan struct{})}
 	s.known.Store(&[]platform.BackendServer{})
 	return s
 }
@@ -39,6 +41,7 @@
 		found, err := s.list.BackendServers(ctx)
 		if err == nil {
 			s.known.Store(&found)
+			s.onRead(found)
 		} else if !failing && ctx.Err() == nil {
 			s.log.Emit(events.PlatformFailed, "error", err)
 		}
