Do not take room from the clients of a lost region for the loss of a second one

12 s after a region's loss 0.23 to 0.29% of all clients were refused, because the next plan kept room for one more region; and a site's loss moved 0.001% of the other clients, because plans changed headroom by small amounts. While sites are lost, Plan keeps room for one more failure domain only and raises nothing; it lowers a share only by more than a tenth.

--- a/cmd/capacity/fleet.go
+++ b/cmd/capacity/fleet.go
@@ -80,6 +80,9 @@
 		for _, region := range order {
 			l.Tiers = append(l.Tiers, deal(region))
 		}
+		for _, region := range order[1 : steering.MaxTiers-len(order)+1] {
+			l.Tiers = append(l.Tiers, deal(region))
+		}
 		for _, id := range l.Tiers[0] {
 			demand[i] += f.sites[id].Capacity
 		}
--- a/core/steering/plan.go
+++ b/core/steering/plan.go
@@ -6,8 +6,9 @@
 // more sends more clients to the others.
 const planRounds = 12
 
-// Plan returns a snapshot with each site's Headroom set, so that the loss of any one more failure domain or region
-// brings no site above limit × Capacity. It works ahead of the loss, because answers that callers have cached
+// Plan returns a snapshot with each site's Headroom set, so that the loss of any one more failure domain, or of any one
+// region while no site is lost, brings no site above limit × Capacity. Room for a second region would have to be taken
+// from the clients of the first: it left 0.3% of all clients without a site. It works ahead of the loss, because answers that callers have cached
 // name the next sites already, and measurements after a loss come too late.
 //
 // loads is the measured load of each site, with cached answers counted for their whole time to live.
@@ -35,8 +36,10 @@
 	}
 	sites := s.Sites()
 	for id, share := range spare {
-		// A raise moves clients that other sites refused, so it waits until it is worth it.
-		if old := sites[id].Headroom; share < old || share > old+raiseHeadroom || share == 1 {
+		// Each change moves clients that sites refused, so small ones are left out. While sites are lost there is no
+		// raise, because it would leave too little room for a region's loss.
+		old := sites[id].Headroom
+		if share < lowerHeadroom*old || !p.lost && (share > old+raiseHeadroom || share == 1) {
 			sites[id].Headroom = share
 		}
 	}
@@ -45,8 +48,12 @@
 	return next
 }
 
-// raiseHeadroom is the smallest raise of a site's Headroom.
-const raiseHeadroom = 0.1
+// raiseHeadroom is the smallest raise of a site's Headroom, and lowerHeadroom the largest part that lowers it. What
+// stays too high by less takes a tenth of the room at most, which the distance from PlanLimit to the capacity covers.
+const (
+	raiseHeadroom = 0.1
+	lowerHeadroom = 0.9
+)
 
 // plan holds the load that each loss would bring to each site.
 type plan struct {
@@ -57,6 +64,8 @@
 	// domains numbers the failure domains; losses are the domains first, then the regions.
 	domains []int
 	losses  int
+	// lost reports that sites are lost now.
+	lost bool
 	// base is the load that tries each site because of the sites that are lost now. flow[loss*sites+site] is what a
 	// loss adds, and worst is base with the largest addition.
 	base, flow, worst []float64
@@ -78,6 +87,7 @@
 			numbers[name] = len(numbers)
 		}
 		p.domains = append(p.domains, numbers[name])
+		p.lost = p.lost || site.Health <= 0
 	}
 	p.losses = len(numbers) + len(s.regions)
 	p.flow = make([]float64, p.losses*len(s.sites))
@@ -137,10 +147,11 @@
 		var done [2 * MaxTierSites]int
 		losses := done[:0]
 		p.shares(i, func(id SiteID, _ float64) {
-			for _, loss := range [2]int{p.domains[id], p.losses - len(p.s.regions) + int(p.s.seats[id].region)} {
-				if !contains(losses, loss) {
-					losses = append(losses, loss)
-				}
+			if loss := p.domains[id]; !contains(losses, loss) {
+				losses = append(losses, loss)
+			}
+			if loss := p.losses - len(p.s.regions) + int(p.s.seats[id].region); !p.lost && !contains(losses, loss) {
+				losses = append(losses, loss)
 			}
 		})
 		p.spread(i, now, spare, func(id SiteID, visits float64) {
