Read the ledger from the store only when it can matter

Every host read the whole ledger every 2 s to learn of changes and of the store's state. At 4,500 members the ledger is about half a megabyte, so the reads alone would exceed the 2 KB/s of a node. A host with a valid lease now reads a hundred times less: it learns of epochs from its witnesses. Promises for a fence are asked for only within 1 s of a successful read, so that no promise binds while the store is down.

--- a/host/budgets/exchange.go
+++ b/host/budgets/exchange.go
@@ -60,6 +60,7 @@
 
 // read gets the ledger and takes it. A missing object is the empty ledger at version 0.
 func (n *node) read(ctx context.Context, st store.Store, clock func() time.Duration) (l ledger.Ledger, version store.Version, err error) {
+	sent := clock()
 	object, err := st.Get(ctx, ledger.StoreKey)
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -77,6 +78,7 @@
 	if err != nil {
 		return l, 0, err
 	}
+	n.storeSeen = sent
 	n.take(clock(), l)
 	return l, object.Version, nil
 }
@@ -110,6 +112,9 @@
 		if len(votes.votes) >= len(m.Witnesses) && len(m.Witnesses) > 0 || n.defects.oneVote && len(votes.votes) > 0 {
 			return true
 		}
+		if len(m.Witnesses) > 0 && n.agreed(m, votes) && !n.storeRecent(now) {
+			return true
+		}
 	}
 	for i, s := range n.ledger.Slots {
 		if n.held&(1<<i) != 0 && len(s.Unreleased) > 0 {
--- a/host/budgets/mechanisms_test.go
+++ b/host/budgets/mechanisms_test.go
@@ -27,7 +27,7 @@
 		{"empty start of a taken-over slot", []string{"kill", "restart"}, without(defects{fullStart: true}), "over rate", 0},
 		{"duplicate detection", []string{"lossy"}, without(defects{acceptDuplicates: true}), "over rate", 0},
 		{"release before use", []string{"join", "pause"}, without(defects{noReleaseWait: true}), "held twice", 0},
-		{"votes of all witnesses", []string{"two-way", "one-way"}, without(defects{oneVote: true}), "held twice", 285},
+		{"votes of all witnesses", []string{"two-way", "one-way"}, without(defects{oneVote: true}), "held twice", 1070},
 		{"loans end before the lender's lease", []string{"unwitnessed"}, without(defects{loanOutlivesLease: true}), "over rate", 2220},
 		{"wait before an ended process is replaced", []string{"restart"}, func(s *simulation) {
 			s.setup = func(n *node) { n.replaceAfter = 0 }
--- a/host/budgets/node.go
+++ b/host/budgets/node.go
@@ -66,11 +66,13 @@
 	pulled bool
 	// lapsedAt is when the lease was first seen invalid, 0 while it is valid.
 	lapsedAt time.Duration
-	// storeUp says that the last store call succeeded; without it nothing is promised for a fence.
-	storeUp bool
-	lastTo  map[string]time.Duration
-	loanID  uint64
-	out     []outgoing
+	// storeUp says that the last store call succeeded, and storeSeen is when the last one that did was sent.
+	// Nothing is promised for a fence without a recent one, because a promise binds until the next epoch.
+	storeUp   bool
+	storeSeen time.Duration
+	lastTo    map[string]time.Duration
+	loanID    uint64
+	out       []outgoing
 
 	// until, heldNow and cells are what the hot path reads without mu.
 	until   atomic.Int64
--- a/host/budgets/node_lease.go
+++ b/host/budgets/node_lease.go
@@ -83,7 +83,7 @@
 		f.asked = now
 		n.fences[o] = f
 		for _, w := range m.Witnesses {
-			ask := fenceMessage{o.Host, o.Incarnation, n.ledger.Epoch, n.storeUp && n.agreed(m, f)}
+			ask := fenceMessage{o.Host, o.Incarnation, n.ledger.Epoch, n.storeRecent(now) && n.agreed(m, f)}
 			if w == n.self.Host {
 				n.fenceAsked(now, w, ask)
 			} else {
@@ -93,6 +93,11 @@
 	}
 }
 
+// storeRecent reports whether the store answered lately enough to ask for promises.
+func (n *node) storeRecent(now time.Duration) bool {
+	return n.storeUp && now-n.storeSeen < time.Second
+}
+
 // agreed reports whether all witnesses have said that the member is silent.
 func (n *node) agreed(m ledger.Member, f fence) bool {
 	for _, w := range m.Witnesses {
--- a/host/budgets/stores.go
+++ b/host/budgets/stores.go
@@ -24,9 +24,11 @@
 	retryTokens    = 20
 	retryPerSecond = 1
 	// pollEvery is the time between reads of the ledger without a reason; it grows with the members, so that
-	// the fleet makes at most 100 such reads a second.
+	// the fleet makes at most 100 such reads a second. A host with a valid lease learns of changes from its
+	// witnesses and reads a hundred times less, because a read costs it the whole ledger.
 	pollEvery     = 2 * time.Second
 	pollPerMember = 10 * time.Millisecond
+	pollLeased    = 100
 	// watchTimeout ends a watch that sees no change. watchers hosts of the ledger hold a watch, the others
 	// learn of changes from them and from renewals.
 	watchTimeout = 10 * time.Second
@@ -88,7 +90,11 @@
 }
 
 func (s *Service) pollInterval() time.Duration {
-	return jitter(max(pollEvery, time.Duration(len(s.Ledger().Members))*pollPerMember))
+	every := time.Duration(len(s.Ledger().Members)) * pollPerMember
+	if s.LeaseValid() {
+		every *= pollLeased
+	}
+	return jitter(max(pollEvery, every))
 }
 
 // announce tells the other hosts of a ledger that this host has written.
