Join permits for backend servers

Cause: every host bounded the requests at a backend server alone. Change: permits are owned by one host for each server; the platform list gives the slots, the configuration the weights.

--- a/host/host.go
+++ b/host/host.go
@@ -21,6 +21,7 @@
 	"vanillatally/host/lookup"
 	"vanillatally/host/members"
 	"vanillatally/host/moves"
+	"vanillatally/host/permits"
 	"vanillatally/host/request"
 	"vanillatally/io/callers"
 	"vanillatally/io/events"
@@ -53,6 +54,7 @@
 	budgets  *budgets.Service
 	links    linkNames
 	claims   *claims.Service
+	permits  *permits.Service
 	lookups  *lookup.Service
 	blocks   *blocks
 	places   *places
@@ -83,7 +85,7 @@
 		Address: func(host string) (string, bool) { return h.address(host) },
 	})
 	h.places = newPlaces(h)
-	h.servers = newServers(list, log, h.places.rebuild)
+	h.servers = newServers(list, log, h.onServers)
 	h.members = h.newMembers(table, list)
 	h.configs = configs.New(configs.Options{
 		Host: s.Host, Region: s.Region, Store: objects, Peers: h.node, Table: table, Members: h.members,
@@ -95,10 +97,14 @@
 		Broadcast: h.members.Broadcast, Clock: h.now, MaxWait: time.Duration(s.Limits.BudgetWait), Log: log.Logger(),
 		MayLeave: func(ctx context.Context) bool { return h.claims.HandedOver(ctx) },
 	})
-	h.configs.Subscribe(h.applyLimits)
 	h.claims = claims.New(claims.Options{
 		Host: s.Host, Ledger: h.budgets, Caller: h.node, Peers: table, Now: h.now, Logger: log.Logger(),
 	})
+	h.permits = permits.New(permits.Options{
+		Host: s.Host, FailureDomain: s.FailureDomain, Ledger: h.budgets, Caller: h.node, Peers: table, Now: h.now,
+		Logger: log.Logger(),
+	})
+	h.configs.Subscribe(h.applyLimits)
 	h.blocks = newBlocks(h)
 	h.lookups = lookup.New(lookup.Options{
 		Self:    membership.Member{Host: s.Host, Region: s.Region, FailureDomain: s.FailureDomain, CallerAddress: s.CallerAddress},
@@ -163,7 +169,7 @@
 	requests := request.New(request.Options{
 		Host: h.settings.Host, Region: h.settings.Region, FailureDomain: h.settings.FailureDomain,
 		Configuration: h.configs.Current, Fresh: h.configs.Fresh, BackendServers: h.servers.get,
-		Admitter: h.budgets, Claims: h.claims, Moves: h.moves, Link: h.admitLink, Notify: h.notifyQuarantine, Hook: h.hook,
+		Admitter: h.budgets, Permits: h.permits, Claims: h.claims, Moves: h.moves, Link: h.admitLink, Notify: h.notifyQuarantine, Hook: h.hook,
 	})
 	peers.Handle(table, quarantineKind, func(_ context.Context, _ string, notice quarantine.Notice) (struct{}, error) {
 		requests.HandleNotice(notice)
@@ -229,7 +235,7 @@
 		group.Go(func() error { return serve(server, listeners[i]) })
 	}
 	runs := []func(context.Context) error{
-		h.servers.run, h.members.Run, h.configs.Run, h.budgets.Run, h.claims.Run, h.lookups.Run, h.blocks.run, h.moves.Run, h.requests.Run,
+		h.servers.run, h.members.Run, h.configs.Run, h.budgets.Run, h.claims.Run, h.permits.Run, h.lookups.Run, h.blocks.run, h.moves.Run, h.requests.Run,
 	}
 	for _, run := range runs {
 		group.Go(func() error { return run(parts) })
--- a/host/limits.go
+++ b/host/limits.go
@@ -8,7 +8,9 @@
 	"vanillatally/core/budget"
 	"vanillatally/core/config"
 	"vanillatally/core/ledger"
+	"vanillatally/host/permits"
 	"vanillatally/io/events"
+	"vanillatally/io/platform"
 )
 
 // linkNames maps the two regions of a link to its name. It is replaced as a whole with each configuration.
@@ -27,10 +29,11 @@
 
 // applyLimits puts the rates and link capacities of a configuration in force at this host's budgets.
 func (h *Host) applyLimits(c *config.Configuration) {
-	teams := map[string]budget.Limits{}
+	teams, weights := map[string]budget.Limits{}, map[string]float64{}
 	for name := range c.Teams {
 		if team, ok := c.EffectiveTeam(name); ok {
 			teams[name] = budget.Limits{Rate: team.Rate, Burst: team.Burst}
+			weights[name] = team.Weight
 		}
 	}
 	links, names := map[string]budget.Limits{}, map[[2]string]string{}
@@ -41,6 +44,7 @@
 	}
 	h.setTable(h.budgets.SetTeams, teams)
 	h.setTable(h.budgets.SetLinks, links)
+	h.permits.SetTeams(weights)
 	h.links.byRegions.Store(&names)
 	h.budgets.SetDead(func(m ledger.Member) bool { return c.Hosts[m.Host].Dead || c.Regions[m.Region].Dead })
 	h.log.Emit(events.ConfigApplied, "sequence", c.Sequence)
@@ -77,3 +81,13 @@
 	}
 	return holders
 }
+
+// onServers takes in a reading of the platform list.
+func (h *Host) onServers(listed []platform.BackendServer) {
+	capacities := make(map[string]permits.Server, len(listed))
+	for _, s := range listed {
+		capacities[s.ID] = permits.Server{Slots: s.Slots, Region: s.Region, FailureDomain: s.FailureDomain}
+	}
+	h.permits.SetServers(capacities)
+	h.places.rebuild(listed)
+}
