Pass a checked Content-Length on without a new header value

Cause: in the CPU profile of BenchmarkChain system calls have 31.7 %, mallocgc 7.4 % and http.Request.Write 7.0 %; the length was formatted again for each response. Change: keeps the header of the backend server, whose length was checked against the body.

--- a/host/request/answer.go
+++ b/host/request/answer.go
@@ -39,7 +39,8 @@
 	if x.callerID != "" {
 		h["X-Request-Id"] = []string{x.callerID}
 	}
-	if response.Rest == nil && len(response.Trailer) == 0 && x.r.Method != http.MethodHead && bodyAllowed(response.Status) {
+	// A stated length was checked against the body, so that it is passed on without a new header value.
+	if _, stated := h["Content-Length"]; !stated && response.Rest == nil && len(response.Trailer) == 0 && x.r.Method != http.MethodHead && bodyAllowed(response.Status) {
 		h["Content-Length"] = []string{strconv.Itoa(len(response.Body))}
 	}
 	if len(response.Trailer) > 0 {
