Keep blocked claim slots blocked when their owner is lost

A slot that answered unknown after two losses went to a third owner, whose predecessor had stated to have copied everything at the lost hosts, so the block ended early.

Change: covers name their slots, and a blocked slot is never covered.

Measured: the new case "owner and executor die together, later the next owner" of TestFaultBetweenTwoArrivals runs the request twice without the change and once with it.

--- a/core/claim/takeover.go
+++ b/core/claim/takeover.go
@@ -17,10 +17,14 @@
 	At     time.Duration `cbor:"at"`
 }
 
-// Cover states that an owner has copied to a living member all records whose copy was at a lost process.
+// Cover states that an owner has copied to a living member all records of some slots whose copy was at
+// a lost process, and that it knew all records of these slots.
 type Cover struct {
 	Owner Holder `cbor:"owner"`
 	Lost  Holder `cbor:"lost"`
+	// Slots has one bit for each slot. A slot that answers Unknown is never covered, because the block
+	// has to outlive its owner.
+	Slots uint64 `cbor:"slots"`
 }
 
 // maxLost bounds the losses and the covers that are remembered. More losses within the retention time
@@ -112,7 +116,7 @@
 // BlockedUntil returns the time until which a slot answers Unknown, after all members were asked and
 // its previous owner was not among them. A claim is lost when its owner and the holder of its copy are
 // both lost, so each further loss within the retention time counts unless the owner has covered it.
-func (h History) BlockedUntil(previous string, covers []Cover, retention time.Duration) time.Duration {
+func (h History) BlockedUntil(slot int, previous string, covers []Cover, retention time.Duration) time.Duration {
 	var until time.Duration
 	if !h.Complete {
 		until = h.From + retention
@@ -124,7 +128,8 @@
 		}
 	}
 	for _, l := range h.Lost {
-		if l.Holder == owner || slices.Contains(covers, Cover{Owner: owner, Lost: l.Holder}) {
+		covered := func(c Cover) bool { return c.Owner == owner && c.Lost == l.Holder && c.Slots>>slot&1 != 0 }
+		if l.Holder == owner || slices.ContainsFunc(covers, covered) {
 			continue
 		}
 		until = max(until, l.At+retention)
--- a/host/claims/gather.go
+++ b/host/claims/gather.go
@@ -190,7 +190,7 @@
 		h, covers := s.known(previous)
 		covers = append(covers, work.covers...)
 		lost := slices.ContainsFunc(h.Lost, func(l claim.Lost) bool { return l.Holder.Host == previous })
-		if until = h.BlockedUntil(previous, covers, s.options.Retention); !lost && claim.Incarnation(l, previous) != 0 {
+		if until = h.BlockedUntil(slot, previous, covers, s.options.Retention); !lost && claim.Incarnation(l, previous) != 0 {
 			until = h.BlockedWithoutOwner(s.options.Retention)
 		}
 	}
@@ -302,30 +302,30 @@
 	if len(lost) == 0 || len(seconds) == 0 || self.Incarnation == 0 {
 		return
 	}
-	last := lost[len(lost)-1]
-	if s.covered.second == seconds[0] && s.covered.last == last && s.covered.count == len(lost) {
-		return
-	}
+	last, owned := lost[len(lost)-1], uint64(0)
 	for slot := range l.Slots {
-		if l.Slots[slot].Holder != s.options.Host {
-			continue
-		}
-		sh, tenure := &s.shards[slot], claim.Tenure(l, slot)
+		sh := &s.shards[slot]
 		sh.mu.Lock()
-		owned := sh.tenure == tenure && sh.floor == tenure
+		if l.Slots[slot].Holder == s.options.Host && sh.tenure == claim.Tenure(l, slot) && sh.floor == sh.tenure && now >= sh.blockedUntil {
+			owned |= 1 << slot
+		}
 		sh.mu.Unlock()
-		// Only an owner of all its slots can state that it has copied everything.
-		if !owned || !s.recopy(ctx, slot, tenure) {
-			return
+	}
+	if c := &s.covered; owned == 0 || c.second == seconds[0] && c.last == last && c.count == len(lost) && c.slots == owned {
+		return
+	}
+	for slot := range l.Slots {
+		if owned>>slot&1 != 0 && !s.recopy(ctx, slot, claim.Tenure(l, slot)) {
+			owned &^= 1 << slot
 		}
 	}
 	message := replicate{}
 	for _, x := range lost {
-		message.Covers = append(message.Covers, claim.Cover{Owner: self, Lost: x.Holder})
+		message.Covers = append(message.Covers, claim.Cover{Owner: self, Lost: x.Holder, Slots: owned})
 	}
 	answer, err := call[replicate, replicateAnswer](ctx, s, seconds[0].Host, kindCopy, message)
 	if err == nil && answer.Accepted {
-		s.covered.second, s.covered.last, s.covered.count = seconds[0], last, len(lost)
+		s.covered.second, s.covered.last, s.covered.count, s.covered.slots = seconds[0], last, len(lost), owned
 	}
 }
 
--- a/host/claims/service.go
+++ b/host/claims/service.go
@@ -75,6 +75,7 @@
 		second claim.Holder
 		last   claim.Lost
 		count  int
+		slots  uint64
 	}
 	reports chan report
 	pending []report // only the loop of reports uses it
--- a/host/claims/service_test.go
+++ b/host/claims/service_test.go
@@ -21,7 +21,9 @@
 		answer.Records = nil
 	}
 	if f.off.noBlock {
-		answer.Covers = append(answer.Covers, claim.Cover{Owner: claim.Holder{Host: "h0", Incarnation: 1}, Lost: claim.Holder{Host: "h1", Incarnation: 2}})
+		h := []claim.Holder{{Host: "h0", Incarnation: 1}, {Host: "h1", Incarnation: 2}, {Host: "h2", Incarnation: 3}}
+		answer.Covers = append(answer.Covers, claim.Cover{Owner: h[0], Lost: h[1], Slots: 1<<64 - 1},
+			claim.Cover{Owner: h[2], Lost: h[0], Slots: 1<<64 - 1}, claim.Cover{Owner: h[2], Lost: h[1], Slots: 1<<64 - 1})
 	}
 	body, _ = cbor.Marshal(answer)
 	return body
@@ -111,6 +113,22 @@
 			time.Sleep(time.Second)
 			return f.request(h[3], key, 0, 0, done)
 		}, claim.Unknown},
+		"owner and executor die together, later the next owner": {switches{noBlock: true}, func(f *fleet, h []*host) claim.State {
+			f.request(h[1], key, 0, 0, done)
+			f.kill(h[0])
+			f.kill(h[1])
+			f.fence(h[1], "h2")
+			f.publish()
+			time.Sleep(100 * time.Millisecond)
+			f.fence(h[0], "h2")
+			f.publish()
+			time.Sleep(time.Second)
+			f.kill(h[2])
+			f.fence(h[2], "h3")
+			f.publish()
+			time.Sleep(time.Second)
+			return f.request(h[3], key, 0, 0, done)
+		}, claim.Unknown},
 		"executor dies, later the owner": {switches{noSecond: true}, func(f *fleet, h []*host) claim.State {
 			f.request(h[1], key, 0, 0, done)
 			f.kill(h[1])
