--- a/host/claims/service.go
+++ b/host/claims/service.go
@@ -75,6 +75,7 @@
 		second claim.Holder
 		last   claim.Lost
 		count  int
+		slots  uint64
 	}
 	reports chan report
 	// unreported counts the outcomes in reports and pending.
