Count the time that a freshness statement waited as its age

The same held for an answer of the store that had waited at a relay. Ruled out: the lease (it had lapsed, but the host rejoins within milliseconds of waking), the key index. Change: statements carry the relay's monotonic sending time; what exceeds the fastest ones of the last 30 s adds to their age, and a relay is believed from its second statement on. Answers of the store count from the call's beginning.

--- a/host/configs/configs.go
+++ b/host/configs/configs.go
@@ -57,6 +57,8 @@
 	opts  Options
 	start time.Time
 	done  chan struct{}
+	// instance identifies this process in its statements.
+	instance uint64
 
 	// current is nil until a configuration is known; its sequence never goes down.
 	current atomic.Pointer[config.Configuration]
@@ -93,9 +95,10 @@
 	s := &Service{
 		opts: opts, start: time.Now(), done: make(chan struct{}),
 		pulls: make(chan hint, 1), gaps: make(chan uint64, 1),
-		random:  rand.New(rand.NewPCG(opts.Seed, uint64(len(opts.Host)))),
-		waiters: map[*waiter]struct{}{},
-		relays:  relays{last: map[string]uint64{}},
+		random:   rand.New(rand.NewPCG(opts.Seed, uint64(len(opts.Host)))),
+		waiters:  map[*waiter]struct{}{},
+		relays:   relays{last: map[string]uint64{}, lags: map[string]lag{}},
+		instance: rand.Uint64(),
 	}
 	s.register(opts.Table)
 	return s
--- a/host/configs/messages.go
+++ b/host/configs/messages.go
@@ -39,6 +39,9 @@
 	// Contact is set when the root is a store read that is AgeMillis old, and not set when the store is unreachable.
 	Contact   bool   `cbor:"c"`
 	AgeMillis uint64 `cbor:"a"`
+	// Instance identifies the relay's process, SentMillis is the time of sending on its monotonic clock.
+	Instance   uint64 `cbor:"i"`
+	SentMillis uint64 `cbor:"t"`
 }
 
 type pullRequest struct {
--- a/host/configs/relay.go
+++ b/host/configs/relay.go
@@ -31,6 +31,10 @@
 type relays struct {
 	// last holds the number of each relay's newest statement, at most maxRelays.
 	last map[string]uint64
+	// lags holds the delays of the relays in last.
+	lags map[string]lag
+	// spokeAt is the time of this host's own newest statement.
+	spokeAt time.Duration
 	// heardAt is the time of the newest statement of another relay, 0 for none.
 	heardAt time.Duration
 	// yieldUntil is set by statements of a relay that goes first, with the same or a better root.
@@ -51,6 +55,7 @@
 		}
 	}
 	delete(r.last, oldest)
+	delete(r.lags, oldest)
 }
 
 // isRelay tells whether this host holds its region's watch: the first live host in rendezvous order does, and the
@@ -97,10 +102,10 @@
 		switch {
 		case err == nil:
 			attempt = 0
-			s.seen(object)
+			s.seen(object, began)
 		case errors.Is(err, store.ErrNotModified):
 			attempt = 0
-			s.readNow()
+			s.readSince(began)
 			// An adapter that answers at once must not turn this into a busy loop.
 			wait(ctx, firstDelay-min(firstDelay, s.now()-began))
 		default:
@@ -115,7 +120,7 @@
 }
 
 // seen takes an object that the watch returned.
-func (s *Service) seen(object store.Object) {
+func (s *Service) seen(object store.Object, began time.Duration) {
 	before := s.Sequence()
 	c, err := s.takeObject(object)
 	if err != nil {
@@ -126,7 +131,7 @@
 		s.mu.Unlock()
 		return
 	}
-	s.readNow()
+	s.readSince(began)
 	if c.Sequence < before {
 		s.opts.Log.Error("the store holds an older configuration than the one in force", "stored", c.Sequence, "in-force", before)
 	}
@@ -138,10 +143,12 @@
 	}
 }
 
-func (s *Service) readNow() {
+// readSince notes an answer of the store to a call that began at began. The answer may have waited since then, if this
+// host was paused.
+func (s *Service) readSince(began time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.relays.readAt = s.now()
+	s.relays.readAt = max(s.relays.readAt, began)
 }
 
 // repeat broadcasts a change that the watch showed and that no writer broadcast, because the writer died.
@@ -174,9 +181,16 @@
 func (s *Service) state(ctx context.Context) {
 	due := s.now()
 	for {
+		s.mu.Lock()
+		fresh := s.relays.spokeAt == 0 || s.now()-s.relays.spokeAt > 2*statementEvery
+		s.mu.Unlock()
 		if s.isRelay() && s.Current() != nil && s.stateOnce(ctx, s.now() >= due) {
 			// The jitter is small, so that FreshFor covers two lost statements.
 			due = s.now() + statementEvery - s.jitter(statementEvery/20)
+			if fresh {
+				// Others believe a relay from its second statement on.
+				due = s.now() + lagSpacing + relayCheck
+			}
 		}
 		delay := relayCheck
 		if left := due - s.now(); left > 0 {
@@ -211,7 +225,9 @@
 		if !alone && !s.provenByPeer(ctx) {
 			return true
 		}
-		s.prove(0, false)
+		// An answer that waited while this host was paused is as old as the question.
+		age = s.now() - now
+		s.prove(age, false)
 	}
 	if yield {
 		// A relay that yields is ready to speak as soon as the other falls silent.
@@ -219,10 +235,12 @@
 	}
 	s.mu.Lock()
 	s.relays.number = max(s.relays.number+1, uint64(time.Now().UnixMilli()))
-	number := s.relays.number
+	number, sent := s.relays.number, s.now()
+	s.relays.spokeAt = sent
 	s.mu.Unlock()
 	s.flood(ctx, KindFreshness, statement{
 		Relay: s.opts.Host, Number: number, Sequence: s.Sequence(), Contact: contact, AgeMillis: uint64(age.Milliseconds()),
+		Instance: s.instance, SentMillis: uint64(sent.Milliseconds()),
 	})
 	return true
 }
@@ -263,6 +281,8 @@
 	now := s.now()
 	s.relays.last[st.Relay] = st.Number
 	s.relays.heardAt = now
+	next, extra, baseline := s.relays.lags[st.Relay].withStatement(now, time.Duration(st.SentMillis)*time.Millisecond, st.Instance)
+	s.relays.lags[st.Relay] = next
 	if st.Relay < s.opts.Host {
 		s.relays.yieldUntil = now + statementEvery + statementEvery/10
 		if st.Contact {
@@ -274,6 +294,9 @@
 		s.hint(hint{host: st.Relay, sequence: st.Sequence})
 		return
 	}
+	if !baseline {
+		return
+	}
 	// A faulty age must not extend the freshness.
-	s.prove(min(time.Duration(st.AgeMillis)*time.Millisecond, FreshFor), st.Contact)
+	s.prove(extra+min(time.Duration(st.AgeMillis)*time.Millisecond, FreshFor), st.Contact)
 }
