--- a/host/configs/lag_test.go
+++ b/host/configs/lag_test.go
@@ -17,8 +17,10 @@
 	cases := map[string][]arrival{
 		"statements in time": {{10 * second, second, 1, 0, false}, {11 * second, 2 * second, 1, 0, true}},
 		"paused for 6 s after two statements": {
-			{10 * second, second, 1, 0, false}, {11 * second, 2 * second, 1, 0, true},
-			{18 * second, 3 * second, 1, 6 * second, true}, {18 * second, 4 * second, 1, 5 * second, true},
+			{10 * second, second, 1, 0, false},
+			{11 * second, 2 * second, 1, 0, true},
+			{18 * second, 3 * second, 1, 6 * second, true},
+			{18 * second, 4 * second, 1, 5 * second, true},
 			{19 * second, 10 * second, 1, 0, true},
 		},
 		"a new relay's statements arrive together after a pause": {
