--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -95,10 +96,15 @@
 	hosts    []*process
 }
 
-// freeAddress returns a loopback port that the system has just chosen.
+// addresses counts the loopback addresses that this test binary gave out.
+var addresses atomic.Uint32
+
+// freeAddress returns a port that the system has just chosen, on a loopback address that nothing else uses: on
+// 127.0.0.1 an outgoing connection could take the port before the host binds it.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	n, pid := addresses.Add(1), os.Getpid()
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid%250, 1+pid/250%250, 1+n%250))
 	if err != nil {
 		t.Fatal(err)
 	}
