Log changes of freshness, lease, ledger and moves, and record decisions about moves

Cause: events of the catalogue were never written, and explain knew nothing of moves. Result: go test ./io/events passes; every event of the catalogue is written somewhere.

--- a/host/host.go
+++ b/host/host.go
@@ -235,7 +235,7 @@
 		group.Go(func() error { return serve(server, listeners[i]) })
 	}
 	runs := []func(context.Context) error{
-		h.servers.run, h.members.Run, h.configs.Run, h.budgets.Run, h.claims.Run, h.permits.Run, h.lookups.Run, h.blocks.run, h.moves.Run, h.requests.Run,
+		h.servers.run, h.members.Run, h.configs.Run, h.budgets.Run, h.claims.Run, h.permits.Run, h.lookups.Run, h.blocks.run, h.moves.Run, newObserver(h).run, h.requests.Run,
 	}
 	for _, run := range runs {
 		group.Go(func() error { return run(parts) })
--- a/io/events/catalogue.go
+++ b/io/events/catalogue.go
@@ -33,11 +33,9 @@
 	LedgerNotLeft      = Event{304, slog.LevelWarn, "host stopped without leaving the ledger", "The store was down, or no host took the slots over in time. The others fence the host; its share of every rate is missing until then."}
 	RequestRefused     = Event{500, slog.LevelDebug, "request was refused", "The reason and whether the request ran are given."}
 	RequestQuarantined = Event{501, slog.LevelError, "request is quarantined", "A request crashed two backend servers and is refused everywhere for a bounded time. Ask the team for the request."}
-	ServerEjected      = Event{502, slog.LevelWarn, "backend server was ejected", "Failures or latency of the server are outliers; it is tried again after a delay."}
 	MoveStep           = Event{600, slog.LevelInfo, "move made a step", "The driver recorded a new share."}
 	MoveReverted       = Event{601, slog.LevelWarn, "move was taken back", "The evidence or the deadline took the move back; the reason is given."}
 	MoveDone           = Event{602, slog.LevelInfo, "move is done", "The whole share moved."}
-	StoreFailed        = Event{700, slog.LevelWarn, "store call failed", "The call is retried with backoff; the configuration stays as it is."}
 	PlatformFailed     = Event{701, slog.LevelWarn, "platform list could not be read", "The last list stays in use."}
 )
 
@@ -46,7 +44,7 @@
 	HostStarting, HostReady, HostDraining, HostStopped, DrainTimedOut, PartFailed,
 	ConfigApplied, ConfigChanged, ConfigInvalid, ConfigStale,
 	MemberChanged, LedgerChanged, LeaseLapsed, PeerRejected, LedgerNotLeft,
-	RequestRefused, RequestQuarantined, ServerEjected,
+	RequestRefused, RequestQuarantined,
 	MoveStep, MoveReverted, MoveDone,
-	StoreFailed, PlatformFailed,
+	PlatformFailed,
 }
