--- a/host/host.go
+++ b/host/host.go
@@ -109,7 +109,7 @@
 	h.lookups = lookup.New(lookup.Options{
 		Self:    membership.Member{Host: s.Host, Region: s.Region, FailureDomain: s.FailureDomain, CallerAddress: s.CallerAddress},
 		Members: h.members.Members, Configuration: h.configs.Current, BackendServers: h.servers.get,
-		ShareHolders: h.shareHolders, Blocks: h.blocks.all, Now: h.now, TTL: time.Duration(s.Limits.LookupTTL),
+		ShareHolders: h.shareHolders, Blocks: h.blocks.all, Loads: h.places.siteLoads, Now: h.now, TTL: time.Duration(s.Limits.LookupTTL),
 	})
 	h.moves = moves.New(moves.Options{
 		Host: s.Host, Incarnation: uint64(h.start.UnixMilli()), Store: objects, Peers: h.node, Table: table,
--- a/host/places.go
+++ b/host/places.go
@@ -111,3 +111,14 @@
 	load.Use = status.Links[name].Demand * float64(max(1, status.Members)) / current.Links[name].BytesPerSecond
 	return load
 }
+
+// siteLoads returns the requests in flight of a service at each site, "region/failure-domain".
+func (p *places) siteLoads(service string) map[string]float64 {
+	loads := map[string]float64{}
+	for _, s := range p.view.Load().servers {
+		if s.Service == service {
+			loads[s.Region+"/"+s.FailureDomain] += float64(p.host.requests.ServerLoad(s.ID, loadAge))
+		}
+	}
+	return loads
+}
