Split the wiring of a host from its life cycle, and enforce the body limit of the settings

Cause: New was one long function, and the settings queue-length and request-bytes had no effect. Change: the parts are made in host/parts.go; request-bytes bounds request bodies (413); queue-length is removed, because the queues have bounds of their own.

--- a/host/configs/relay.go
+++ b/host/configs/relay.go
@@ -33,8 +33,8 @@
 	last map[string]uint64
 	// lags holds the delays of the relays in last.
 	lags map[string]lag
-	// spokeAt is the time of this host's own newest statement.
-	spokeAt time.Duration
+	// statedAt is the time of this host's own newest statement.
+	statedAt time.Duration
 	// heardAt is the time of the newest statement of another relay, 0 for none.
 	heardAt time.Duration
 	// yieldUntil is set by statements of a relay that goes first, with the same or a better root.
@@ -182,7 +182,7 @@
 	due := s.now()
 	for {
 		s.mu.Lock()
-		fresh := s.relays.spokeAt == 0 || s.now()-s.relays.spokeAt > 2*statementEvery
+		fresh := s.relays.statedAt == 0 || s.now()-s.relays.statedAt > 2*statementEvery
 		s.mu.Unlock()
 		if s.isRelay() && s.Current() != nil && s.stateOnce(ctx, s.now() >= due) {
 			// The jitter is small, so that FreshFor covers two lost statements.
@@ -236,7 +236,7 @@
 	s.mu.Lock()
 	s.relays.number = max(s.relays.number+1, uint64(time.Now().UnixMilli()))
 	number, sent := s.relays.number, s.now()
-	s.relays.spokeAt = sent
+	s.relays.statedAt = sent
 	s.mu.Unlock()
 	s.flood(ctx, KindFreshness, statement{
 		Relay: s.opts.Host, Number: number, Sequence: s.Sequence(), Contact: contact, AgeMillis: uint64(age.Milliseconds()),
--- /dev/null
+++ b/host/parts.go
@@ -0,0 +1,158 @@
+package host
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"vanillatally/core/membership"
+	"vanillatally/core/quarantine"
+	"vanillatally/host/budgets"
+	"vanillatally/host/claims"
+	"vanillatally/host/configs"
+	"vanillatally/host/lookup"
+	"vanillatally/host/members"
+	"vanillatally/host/moves"
+	"vanillatally/host/permits"
+	"vanillatally/host/request"
+	"vanillatally/io/callers"
+	"vanillatally/io/events"
+	"vanillatally/io/peers"
+	"vanillatally/io/platform"
+	"vanillatally/io/store"
+)
+
+// connect makes the parts in the order in which they need each other. Each registers its messages in table.
+func (h *Host) connect(table *peers.Table, objects store.Store, list platform.List) {
+	s := h.settings
+	h.node = peers.New(peers.Options{Host: s.Host, Secret: []byte(s.PeerSecret), Table: table, Address: h.address})
+	h.places = newPlaces(h)
+	h.servers = newServers(list, h.log, h.onServers)
+	h.members = h.newMembers(table, list)
+	h.configs = configs.New(configs.Options{
+		Host: s.Host, Region: s.Region, Store: objects, Peers: h.node, Table: table, Members: h.members,
+		Log: h.log.Logger(), Seed: uint64(h.start.UnixNano()),
+	})
+	h.connectLedger(table, objects)
+	h.configs.Subscribe(h.applyLimits)
+	h.blocks = newBlocks(h)
+	h.lookups = h.newLookups()
+	h.moves = moves.New(moves.Options{
+		Host: s.Host, Incarnation: uint64(h.start.UnixMilli()), Store: objects, Peers: h.node, Table: table,
+		Members: h.members, Configs: h.configs, Places: h.places, Log: h.log.Logger(), Seed: uint64(h.start.UnixNano()),
+	})
+	h.requests = h.newRequests(table)
+	h.callers = callers.New(callers.Options{
+		Requests: h.requests, Lookup: h.lookups.Handler(),
+		DrainNotice: h.drainNotice(), Logger: h.log.Logger(),
+	})
+}
+
+// connectLedger makes the parts that rest on the ledger's slots and leases.
+func (h *Host) connectLedger(table *peers.Table, objects store.Store) {
+	s := h.settings
+	h.budgets = budgets.New(budgets.Options{
+		Host: s.Host, Region: s.Region, FailureDomain: s.FailureDomain,
+		Store: objects, Caller: h.node, Table: table, Seeds: slices.Sorted(maps.Keys(s.Seeds)),
+		Broadcast: h.members.Broadcast, Clock: h.now, MaxWait: time.Duration(s.Limits.BudgetWait), Log: h.log.Logger(),
+		MayLeave: func(ctx context.Context) bool { return h.claims.HandedOver(ctx) },
+	})
+	h.claims = claims.New(claims.Options{
+		Host: s.Host, Ledger: h.budgets, Caller: h.node, Peers: table, Now: h.now, Logger: h.log.Logger(),
+	})
+	h.permits = permits.New(permits.Options{
+		Host: s.Host, FailureDomain: s.FailureDomain, Ledger: h.budgets, Caller: h.node, Peers: table, Now: h.now,
+		Logger: h.log.Logger(),
+	})
+}
+
+func (h *Host) newLookups() *lookup.Service {
+	s := h.settings
+	return lookup.New(lookup.Options{
+		Self: membership.Member{
+			Host: s.Host, Region: s.Region, FailureDomain: s.FailureDomain, CallerAddress: s.CallerAddress,
+		},
+		Members: h.members.Members, Configuration: h.configs.Current, BackendServers: h.servers.get,
+		ShareHolders: h.shareHolders, Blocks: h.blocks.all, Loads: h.places.siteLoads,
+		Now: h.now, TTL: time.Duration(s.Limits.LookupTTL),
+	})
+}
+
+// address finds a peer through the membership, else through the seeds of the settings.
+func (h *Host) address(host string) (string, bool) {
+	if address, ok := h.members.Address(host); ok {
+		return address, true
+	}
+	address, ok := h.settings.Seeds[host]
+	return address, ok
+}
+
+func (h *Host) newMembers(table *peers.Table, list platform.List) *members.Service {
+	s := h.settings
+	seeds := make([]string, 0, len(s.Seeds))
+	for _, address := range s.Seeds {
+		seeds = append(seeds, address)
+	}
+	return members.New(members.Options{
+		Self: membership.Member{
+			Host: s.Host, Region: s.Region, FailureDomain: s.FailureDomain,
+			PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress,
+		},
+		Seeds: seeds, Caller: h.node, Peers: table, List: list, Now: h.now,
+		Digest: func() membership.Digest {
+			return membership.Digest{Sequence: h.configs.Sequence(), Epoch: h.budgets.Ledger().Epoch}
+		},
+		OnBehind: func(host string, shown membership.Digest) {
+			h.configs.Notice(host, shown.Sequence)
+			h.budgets.Observe(host, shown.Epoch)
+		},
+		OnChange: h.onMembers, Logger: h.log.Logger(),
+	})
+}
+
+func (h *Host) onMembers(changed []membership.Member) {
+	for _, m := range changed {
+		h.log.Emit(events.MemberChanged, "member", m.Host, "state", m.State, "incarnation", m.Incarnation)
+	}
+	h.lookups.Notify()
+}
+
+func (h *Host) newRequests(table *peers.Table) *request.Service {
+	requests := request.New(request.Options{
+		Host: h.settings.Host, Region: h.settings.Region, FailureDomain: h.settings.FailureDomain,
+		Configuration: h.configs.Current, Fresh: h.configs.Fresh, BackendServers: h.servers.get,
+		Admitter: h.budgets, Permits: h.permits, Claims: h.claims, Moves: h.moves, Link: h.admitLink, Notify: h.notifyQuarantine, Hook: h.hook,
+		RequestBytes: h.settings.Limits.RequestBytes,
+	})
+	peers.Handle(table, quarantineKind, func(_ context.Context, _ string, notice quarantine.Notice) (struct{}, error) {
+		requests.HandleNotice(notice)
+		return struct{}{}, nil
+	})
+	return requests
+}
+
+// admitLink charges bytes to the link between two regions; regions without a configured link have no limit.
+func (h *Host) admitLink(from, to string, bytes float64) bool {
+	name, ok := h.links.name(from, to)
+	if !ok {
+		return true
+	}
+	decision, err := h.budgets.LinkAdmit(context.Background(), name, bytes)
+	return err == nil && decision.Admitted
+}
+
+// quarantineKind is the kind of the messages that tell of a request that crashes backend servers.
+const quarantineKind = "quarantine-notice"
+
+func (h *Host) notifyQuarantine(ctx context.Context, notice quarantine.Notice) (err error) {
+	defer func() { err = errors.Wrap(err, "tell the other hosts of a crashing request") }()
+	body, err := cbor.Marshal(notice)
+	if err != nil {
+		return err
+	}
+	return h.members.Broadcast(ctx, quarantineKind, body)
+}
--- a/host/request/body.go
+++ b/host/request/body.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -51,6 +52,11 @@
 		x.body.length = 0
 		return nil
 	}
+	if largest := x.service.options.RequestBytes; x.r.ContentLength > largest {
+		return callers.Refuse(http.StatusRequestEntityTooLarge, "body-too-large", "the body exceeds "+strconv.FormatInt(largest, 10)+" bytes")
+	} else if x.r.ContentLength < 0 {
+		x.r.Body = http.MaxBytesReader(x.w, x.r.Body, largest)
+	}
 	limit := int64(maxBufferedBody)
 	keyed := x.key != "" && !x.idempotent
 	if keyed {
--- a/host/request/service.go
+++ b/host/request/service.go
@@ -49,6 +49,8 @@
 	Backends backends.Options
 	// SlowAfter is the time without a response after which an idempotent request is also sent to another server.
 	SlowAfter time.Duration
+	// RequestBytes is the largest request body; 0 means 8 MiB.
+	RequestBytes int64
 	// SilenceLimit is the time without progress after which a connection counts as silent.
 	SilenceLimit time.Duration
 }
@@ -78,6 +80,9 @@
 	if o.Hook == nil {
 		o.Hook = noHook{}
 	}
+	if o.RequestBytes == 0 {
+		o.RequestBytes = 8 << 20
+	}
 	if o.SlowAfter == 0 {
 		o.SlowAfter = time.Second
 	}
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -52,8 +52,6 @@
 // Limits bound what one host holds.
 type Limits struct {
 	DrainTimeout Duration `toml:"drain-timeout"`
-	// QueueLength is the number of requests that may wait in each class.
-	QueueLength int `toml:"queue-length"`
 	// RequestBytes is the largest request body.
 	RequestBytes int64 `toml:"request-bytes"`
 	// LookupTTL is how long callers may keep a look-up answer.
@@ -68,7 +66,6 @@
 		LogLevel: "info",
 		Limits: Limits{
 			DrainTimeout: Duration(30 * time.Second),
-			QueueLength:  1024,
 			RequestBytes: 8 << 20,
 			LookupTTL:    Duration(5 * time.Second),
 			BudgetWait:   Duration(250 * time.Millisecond),
@@ -113,7 +110,6 @@
 	duration("limits.drain-timeout", time.Second, 10*time.Minute, func(s Settings) Duration { return s.Limits.DrainTimeout }),
 	duration("limits.lookup-ttl", 100*time.Millisecond, time.Minute, func(s Settings) Duration { return s.Limits.LookupTTL }),
 	duration("limits.budget-wait", 0, 5*time.Second, func(s Settings) Duration { return s.Limits.BudgetWait }),
-	number("limits.queue-length", 1, 100_000, func(s Settings) int64 { return int64(s.Limits.QueueLength) }),
 	number("limits.request-bytes", 1024, 64<<20, func(s Settings) int64 { return s.Limits.RequestBytes }),
 }
 
