--- /dev/null
+++ b/io/settings/fuzz_test.go
@@ -0,0 +1,15 @@
+package settings
+
+import "testing"
+
+// Guards against a settings file that crashes the host before it can name the error.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("host = \"host-1\"\n[limits]\ndrain-timeout = \"20s\"\n"))
+	f.Add([]byte("host = [1, {a = 2}]\n"))
+	f.Add([]byte("[seeds\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if s, err := Parse("settings.toml", data); err == nil && s.Host == "" {
+			t.Fatal("settings without a host id were accepted")
+		}
+	})
+}
