Fill the retry budget before the test of faulty servers

A new host has 3 retries; the fourth pick of the faulty server among 8 requests was answered with a truthful refusal, which the budget of 10% extra load asks for. Change: 100 requests fill the budget first; all 8 requests must still be answered by another server.

--- a/host/request/faults_test.go
+++ b/host/request/faults_test.go
@@ -76,6 +76,11 @@
 		backends.FaultEndless, backends.FaultShed, backends.FaultError,
 	} {
 		f := newFleet(t, 4, backends.StandInOptions{}, fast)
+		// Each request adds a tenth of a retry: without these the budget of a new host, 3 retries, may be used up
+		// when the faulty server is picked a fourth time, and then a refusal is right.
+		for range 100 {
+			f.send("GET", "/search", "")
+		}
 		if err := f.standIns[0].SetFaults(backends.Fault{Kind: kind}); err != nil {
 			t.Fatal(err)
 		}
