--- a/host/request/faults_test.go
+++ b/host/request/faults_test.go
@@ -340,3 +340,30 @@
 		t.Errorf("%d requests were shed, want one by each server", shed)
 	}
 }
+
+// Guards against a body beyond the configured size that reaches a backend server, whether its length is stated or not.
+func TestLargeBodyIsRefused(t *testing.T) {
+	f := newFleet(t, 1, backends.StandInOptions{}, func(o *Options) { o.RequestBytes = 16 })
+	if got := f.send("POST", "/hold", strings.Repeat("x", 16)); got.status != 200 {
+		t.Errorf("a body of the largest size: got %+v", got)
+	}
+	if got := f.send("POST", "/hold", strings.Repeat("x", 17)); got.status != 413 || got.reason != "body-too-large" || got.ran != "not-run" {
+		t.Errorf("a larger body: got %+v", got)
+	}
+	r, err := http.NewRequest(http.MethodPost, f.url+"/hold", io.MultiReader(strings.NewReader(strings.Repeat("x", 17))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode < 400 || resp.Header.Get("X-Request-Ran") != "not-run" {
+		t.Errorf("a larger body without a length: got %s, ran %q", resp.Status, resp.Header.Get("X-Request-Ran"))
+	}
+	if runs := len(f.standIns[0].Runs()); runs != 1 {
+		t.Errorf("%d requests ran, want 1", runs)
+	}
+}
