Check the rate of a run over every interval

Cause: the caller program examined only each 64th interval start, so a short excess could pass unseen. Change: every distinct start is examined up to 4,000 for each team.

--- a/io/peers/memory.go
+++ b/io/peers/memory.go
@@ -17,7 +17,7 @@
 	// doubled delivers each one-way message twice when set.
 	doubled bool
 	delay   time.Duration
-	// Messages and Bytes count what was delivered, by sending host.
+	// messages and bytes count what was sent, lost messages included, by sending host.
 	messages map[string]uint64
 	bytes    map[string]uint64
 }
@@ -52,7 +52,7 @@
 	n.cut[[2]string{from, to}] = lost
 }
 
-// SetDelay delays each message; SetDoubled delivers one-way messages twice.
+// SetDelay delays each message by d.
 func (n *Network) SetDelay(d time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/load/promises.go
+++ b/load/promises.go
@@ -44,8 +44,9 @@
 	return report
 }
 
-// rateStride thins out the interval starts that checkRates examines, to keep the check near linear.
-const rateStride = 64
+// maxStarts bounds the interval starts that checkRates examines for each team, so that the check of a long run ends
+// in seconds. Up to that many served requests every interval is checked.
+const maxStarts = 4000
 
 // checkRates counts the served requests that lie wholly inside an interval from one request's sending to
 // another's end. They were admitted inside it, so there may be at most burst + rate × length of them.
@@ -59,8 +60,14 @@
 			}
 		}
 		slices.SortFunc(served, func(a, b sample) int { return cmp.Compare(a.finished, b.finished) })
-		for i := 0; i < len(served); i += rateStride {
-			checkInterval(&report, team, served, served[i].sent)
+		starts := make([]time.Duration, len(served))
+		for i, s := range served {
+			starts[i] = s.sent
+		}
+		slices.Sort(starts)
+		starts = slices.Compact(starts)
+		for i := 0; i < len(starts); i += 1 + len(starts)/maxStarts {
+			checkInterval(&report, team, served, starts[i])
 		}
 	}
 	return report
