Find versions that fail under load before they have all requests

Cause: the few requests of a version on trial never met at a server, so that a version that fails from two running requests on looked good until it had 35 to 100% of the traffic; the first answers of a slow version are its fast ones; lost answers of both versions hid a fault of one; services with little traffic had fewer than 12 answers in time. Change: requests on trial are packed onto two servers with a free slot; the widening begins with two short pulses of all requests whose answers are awaited; failures are compared by deviations from the old version's part; a request that runs too long counts as slow at once; only server errors are failures; the proving share follows the service's rate.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -135,6 +135,26 @@
 	return Choice{Expected: c.Distance + delay + time.Duration(slowness*float64(serve)), Wait: delay, Queued: c.Outstanding+1 > slots, spent: spent}
 }
 
+// packed is the number of servers with a free slot that Pack leaves.
+const packed = 2
+
+// Pack excludes all but the first servers of a version on trial, so that its few requests meet the load that they will
+// have when the version gets all of them. The servers are packed in the order of the candidates, which is the same at
+// every host; a full server does not count.
+func Pack(candidates []Candidate) {
+	free := 0
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Excluded {
+			continue
+		}
+		c.Excluded = free == packed
+		if !c.Excluded && c.Outstanding+1 <= float64(c.Slots) {
+			free++
+		}
+	}
+}
+
 // findHomes returns the candidates that rendezvous hashing makes the object's homes.
 func findHomes(candidates []Candidate) homes {
 	found := homes{near: -1, away: -1}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -113,6 +113,39 @@
 	})
 }
 
+// Guards against a version on trial whose few requests never meet at a server, so that a fault under load stays hidden
+// until the version has all requests, and against a server that is packed beyond its slots.
+func TestPackedServersAreLoaded(t *testing.T) {
+	const perSecond, work = 3.0, 0.7
+	random := rand.New(rand.NewPCG(1, 2))
+	ends, met, sent := make([][]float64, 12), 0, 0
+	for now := 0.0; now < 200; now += random.ExpFloat64() / perSecond {
+		all := newFleet(random.Uint64(), 4, 8)
+		for i := range all {
+			running := ends[i][:0]
+			for _, end := range ends[i] {
+				if end > now {
+					running = append(running, end)
+				}
+			}
+			ends[i], all[i].Outstanding = running, float64(len(running))
+		}
+		Pack(all)
+		chosen := Choose(sticky(), all).Index
+		if all[chosen].Outstanding > 0 {
+			met++
+		}
+		if all[chosen].Outstanding >= 2*float64(all[chosen].Slots) {
+			t.Fatalf("%.0f requests at one server", all[chosen].Outstanding)
+		}
+		ends[chosen] = append(ends[chosen], now+work)
+		sent++
+	}
+	if met < sent/2 {
+		t.Errorf("%d of %d requests met another one", met, sent)
+	}
+}
+
 // Guards against a region whose servers stay full while others are free, against moves that are sudden, and against
 // objects that stay away after the load is gone.
 func TestSpillMovesGradually(t *testing.T) {
--- a/core/rollout/trial.go
+++ b/core/rollout/trial.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"math"
 	"time"
 )
 
@@ -19,29 +20,39 @@
 // The schedule of a trial, as parts of the order's time.
 const (
 	// provingEnd is the part in which the share stays at the proving share.
-	provingEnd = 0.5
-	// halfAt and allAt begin the two steps of widening after it.
-	halfAt = 0.56
-	allAt  = 0.72
-	// finishAt ends the trial; until then all requests go to the target, so that the old version's requests have ended.
+	provingEnd = 0.42
+	// lastWidening is the latest begin of the widening that can still finish in time.
+	lastWidening = 0.55
+	// pulse is how long all requests go to the target, at the begin of the widening and again at secondPulse. In between and
+	// until allAt the answers are awaited at the proving share. All count from the begin of the widening.
+	pulse       = 0.03
+	secondPulse = 0.13
+	allAt       = 0.25
+	// finishAt ends the trial; before it all requests go to the target, so that the old version's requests have ended.
 	finishAt = 0.9
 	// giveUpAt is when a trial without enough evidence is taken back.
 	giveUpAt = 0.8
 
-	firstWide  = 0.15
-	secondWide = 0.35
 	// minEvidence is the number of answers of the target below which it is not widened.
 	minEvidence = 12
 	// excludedFailures and excludedSlow are the sizes of fault that a trial has to exclude before it finishes.
 	excludedFailures = 0.2
 	excludedSlow     = 0.5
-	// wideFailures failures at one step of widening, and wideFactor times the old version's part of failures, which counts as at
-	// least wideBase, take the version back at once: the sequential test would let it have too many requests.
-	wideFailures = 6
-	wideFactor   = 3
-	wideBase     = 0.05
-	// provingPart of the allowed exposure leaves room for the widening of a version that fails only under load.
-	provingPart = 0.5
+	// badDeviations standard deviations more failures, or slow answers, than the old version has in the same time take the
+	// version back: the sequential test would let it have too many requests. doubtDeviations keep it from getting more.
+	badDeviations   = 3.5
+	doubtDeviations = 2.5
+	// leastFailures and leastSlow are the parts of failures and slow answers that the old version counts as having at least;
+	// more of the target's are slow while its caches are empty.
+	leastFailures = 0.02
+	leastSlow     = 0.2
+	// leastEffect is the part of additional failures below which many answers are no reason to act at once.
+	leastEffect = 0.1
+	// provingPart of the allowed exposure leaves room for the widening of a version that fails only under load. A service
+	// with little traffic proves its target with more of it, up to maxProving, to get provingAnswers in time.
+	provingPart    = 0.6
+	provingAnswers = 20
+	maxProving     = 0.25
 )
 
 // Trial is a short rollout at one moment, as one host sees it. It is immutable.
@@ -50,13 +61,13 @@
 	Phase   Phase
 	Started time.Duration
 	Judge   Judge
-	// Answers counts the answers of the target.
-	Answers uint64
-	// wideNew and wideOld count the answers since the target's share last rose.
-	wideNew, wideOld Counts
-	// step is the share since then.
-	step   float64
-	Reason string
+	// Answers counts the answers of the target, all those of every version.
+	Answers, all uint64
+	// recentNew and recentOld count the answers since the phase began.
+	recentNew, recentOld Counts
+	// widened is when the widening began.
+	widened time.Duration
+	Reason  string
 }
 
 // NewTrial returns the trial of an order that was given elapsed ago.
@@ -89,20 +100,18 @@
 }
 
 // WithAnswers returns the trial after more answers over all hosts, which may be part of a later batch.
-func (t Trial) WithAnswers(now time.Duration, answers Batch) Trial {
+func (t Trial) WithAnswers(answers Batch) Trial {
 	if t.Phase.Over() {
 		return t
 	}
-	if step := t.Share(now, 0); step != t.step {
-		// A version may fail from a certain load on; what it did before would hide that.
-		t.step, t.wideNew, t.wideOld = step, Counts{}, Counts{}
-	}
 	for _, counts := range answers {
 		for _, c := range counts.New {
 			t.Answers += uint64(c.N)
-			t.wideNew = t.wideNew.Plus(c)
+			t.all += uint64(c.N)
+			t.recentNew = t.recentNew.Plus(c)
 		}
-		t.wideOld = t.wideOld.Plus(counts.Old)
+		t.all += uint64(counts.Old.N)
+		t.recentOld = t.recentOld.Plus(counts.Old)
 	}
 	return t
 }
@@ -127,16 +136,17 @@
 		return t.WithVerdict("fails since it was widened")
 	}
 	part := t.part(now)
-	judged := t.Answers >= minEvidence
+	ready := t.Answers >= minEvidence && !t.doubtful()
 	switch {
-	case !judged && part >= giveUpAt:
+	case part >= giveUpAt && t.Answers < minEvidence:
 		return t.WithVerdict("too little traffic to judge the version in time")
-	case part >= finishAt && t.unproved():
+	case part >= giveUpAt && (t.Phase == Proving || t.doubtful()), part >= finishAt && t.unproved():
 		return t.WithVerdict("too much fails to tell whether the version is good")
 	case part >= finishAt:
 		t.Phase, t.Reason = Finished, "no evidence against the version"
-	case part >= provingEnd && judged:
-		t.Phase, t.Reason = Widening, "no evidence against the version so far"
+	case t.Phase == Proving && part >= provingEnd && part <= lastWidening && ready:
+		// A version may fail from a certain load on; what it did before would hide that.
+		t.Phase, t.Reason, t.widened, t.recentNew, t.recentOld = Widening, "no evidence against the version so far", now, Counts{}, Counts{}
 	}
 	return t
 }
@@ -151,13 +161,23 @@
 	return false
 }
 
-// failsWide reports whether the target fails more than the old version since its share rose.
-func (t Trial) failsWide() bool {
-	if t.Phase != Widening || t.wideNew.Failed < wideFailures {
-		return false
-	}
-	part := func(c Counts) float64 { return float64(c.Failed) / float64(max(c.N, 1)) }
-	return part(t.wideNew) >= wideFactor*max(part(t.wideOld), wideBase)
+// failsWide reports whether the target fails more than the old version since it was widened.
+func (t Trial) failsWide() bool { return t.Phase == Widening && t.worse(badDeviations) }
+
+// doubtful reports whether the target seems to fail more than the old version in this phase.
+func (t Trial) doubtful() bool { return t.worse(doubtDeviations) }
+
+// worse reports whether the target's failures or slow answers in this phase lie above the old version's part of them.
+func (t Trial) worse(deviations float64) bool {
+	return above(t.recentNew.N, t.recentNew.Failed, t.recentOld.N, t.recentOld.Failed, leastFailures, deviations) ||
+		above(t.recentNew.Timed, t.recentNew.Slow, t.recentOld.Timed, t.recentOld.Slow, leastSlow, deviations)
+}
+
+// above reports whether hits of n are more than the part oldHits of oldN, which is at least least, explains.
+func above(n, hits, oldN, oldHits uint32, least, deviations float64) bool {
+	part := max(float64(oldHits)/float64(max(oldN, 1)), least)
+	mean := float64(n) * part
+	return float64(hits) >= mean+max(deviations*math.Sqrt(mean*(1-part))+1, leastEffect*float64(n))
 }
 
 func (t Trial) part(now time.Duration) float64 {
@@ -175,13 +195,24 @@
 	case Reverted:
 		return 0
 	case Widening:
-		switch part := t.part(now); {
-		case part >= allAt:
+		if t.doubtful() {
+			return t.provingShare(now, exposure)
+		}
+		part := t.part(now) - t.part(t.widened)
+		if part < pulse || part >= secondPulse && part < secondPulse+pulse || part >= allAt {
 			return 1
-		case part >= halfAt:
-			return secondWide
 		}
-		return firstWide
 	}
-	return exposure * provingPart
+	return t.provingShare(now, exposure)
+}
+
+// provingShare is the share with which the target is proved at the rate of answers so far.
+func (t Trial) provingShare(now time.Duration, exposure float64) float64 {
+	least := exposure * provingPart
+	elapsed := t.Elapsed(now).Seconds()
+	if elapsed < 1 || t.all == 0 {
+		return least
+	}
+	expected := float64(t.all) / elapsed * provingEnd * t.Order.Within.Seconds()
+	return min(max(least, provingAnswers/expected), max(maxProving, least))
 }
--- a/core/rollout/trial_test.go
+++ b/core/rollout/trial_test.go
@@ -64,7 +64,7 @@
 		}
 		batch, fresh = batch.Plus(Batch{"r": counts}), fresh.Plus(Batch{"r": counts})
 		if now%(500*time.Millisecond) == 0 {
-			t, fresh = t.WithAnswers(now, fresh).Next(now), Batch{}
+			t, fresh = t.WithAnswers(fresh).Next(now), Batch{}
 		}
 		if now%BatchEvery == 0 {
 			t, batch = t.WithBatch(batch).Next(now), Batch{}
@@ -93,6 +93,12 @@
 			}
 			return 0.005
 		}, 0.005, false},
+		{"bad under load beside failing servers", func(share float64) float64 {
+			if share > 0.3 {
+				return 0.55
+			}
+			return 0.1
+		}, 0.1, false},
 	} {
 		wrong := 0
 		for seed := range uint64(200) {
--- a/host/entry/attempt.go
+++ b/host/entry/attempt.go
@@ -32,20 +32,22 @@
 	s.begin(begun, x.object)
 	x.host.heated(v, s, begun)
 	request := &backends.Request{HTTP: x.outgoing(s, left), ID: x.id, Deadline: x.deadline}
+	evidence := x.host.evidence(v, s, x.routeName, x.slowAfter(s, choice))
 	response, failure := x.host.client.Do(x.context, s.Address, request)
 	s.end()
+	defer evidence.close()
 	now := x.host.now()
 	if failure != nil {
-		return x.failed(v, s, failure, now)
+		return x.failed(evidence, s, failure, now)
 	}
 	if load := response.Header.Get(x.host.dialect.Load); load != "" {
 		s.report(now, load)
 	}
-	return x.settle(v, s, response, choice, now, now-begun)
+	return x.settle(evidence, s, response, choice, now, now-begun)
 }
 
 // failed notes an attempt without an answer.
-func (x *exchange) failed(v *view, s *server, failure *backends.Failure, now time.Duration) outcome {
+func (x *exchange) failed(evidence *evidence, s *server, failure *backends.Failure, now time.Duration) outcome {
 	x.host.metrics.Count("attempt-failures", "", x.routeName, `cause="`+string(failure.Cause)+`"`, 1)
 	if !failure.Sent {
 		if failure.Cause == backends.CauseDial {
@@ -58,20 +60,20 @@
 	case backends.CauseCancelled:
 		return outcome{final: callers.Refuse(statusClientGone, "caller-gone", "the caller has left")}
 	case backends.CauseDeadline:
-		x.host.observe(v, s, x.routeName, true, true)
+		evidence.add(false, true)
 		s.result(now, true)
 		return outcome{final: late()}
 	case backends.CauseClosed, backends.CauseTruncated, backends.CauseSilent:
 		x.host.suspects.broke(now, s.ID, x.print)
 	}
-	x.host.observe(v, s, x.routeName, true, false)
+	evidence.add(false, true)
 	s.result(now, true)
 	return outcome{refusal: callers.Refuse(http.StatusBadGateway, string(failure.Cause), "the backend server gave no whole response").
 		WithRan(callers.Unknown)}
 }
 
 // settle decides what a server's answer means.
-func (x *exchange) settle(v *view, s *server, response *backends.Response, choice placement.Choice, now, took time.Duration) outcome {
+func (x *exchange) settle(evidence *evidence, s *server, response *backends.Response, choice placement.Choice, now, took time.Duration) outcome {
 	if response.Header.Get(x.host.dialect.NotRun) != "" || response.Status == http.StatusMisdirectedRequest {
 		discard(response)
 		return x.notRun(s, response, now)
@@ -81,14 +83,18 @@
 	if !genuine {
 		discard(response)
 		s.result(now, true)
-		x.host.observe(v, s, x.routeName, true, false)
+		evidence.add(false, true)
 		return outcome{refusal: callers.Refuse(http.StatusBadGateway, "response-unproved", "the backend server gave no valid response").
 			WithRan(callers.Unknown)}
 	}
 	x.host.suspects.answered(s.ID, x.print, now-took)
 	failed := response.Status >= http.StatusInternalServerError
 	s.result(now, failed)
-	x.host.observe(v, s, x.routeName, failed, x.measure(s, choice, now, took, failed))
+	late := response.Status == http.StatusGatewayTimeout
+	evidence.add(failed && !late, late || took > x.slowAfter(s, choice))
+	if !failed {
+		x.measure(s, choice, now, took)
+	}
 	if failed && x.idempotent && x.fallback == nil && response.Rest == nil {
 		x.fallback = response
 		return outcome{refusal: callers.Refuse(http.StatusBadGateway, "server-error", "the backend server failed").WithRan(callers.Unknown)}
@@ -108,21 +114,18 @@
 	return outcome{refusal: callers.Refuse(http.StatusServiceUnavailable, "shed", "the backend server is full").WithRetryAfter(retrySoon)}
 }
 
-// measure takes in the service time of an answer and reports whether it was slow.
-func (x *exchange) measure(s *server, choice placement.Choice, now, took time.Duration, failed bool) (slow bool) {
-	if failed {
-		return false
-	}
+// slowAfter is the time from which an answer of the server is slow.
+func (x *exchange) slowAfter(s *server, choice placement.Choice) time.Duration {
 	_, cold, _ := x.times.get()
+	return x.host.distances.to(s.Region) + choice.Wait + slowFactor*cold
+}
+
+// measure takes in the service time of an answer.
+func (x *exchange) measure(s *server, choice placement.Choice, now, took time.Duration) {
 	service := took - x.host.distances.to(s.Region) - choice.Wait
-	if service <= 0 {
-		return false
-	}
-	slow = service > slowFactor*cold
-	if !choice.Queued {
+	if service > 0 && !choice.Queued {
 		s.served(now, x.times.add(x.object != 0, service))
 	}
-	return slow
 }
 
 // outgoing is the request as the server gets it.
--- a/host/entry/choose.go
+++ b/host/entry/choose.go
@@ -33,6 +33,9 @@
 	request := placement.Request{
 		Sticky: x.object != 0, Away: spill.Away(x.object), Warm: warm, Cold: cold, Mean: mean, Random: rand.Float64,
 	}
+	if x.packed {
+		placement.Pack(candidates)
+	}
 	choice = placement.Choose(request, candidates)
 	switch {
 	case choice.Index < 0 || x.host.flow.permits(now, servers[choice.Index]):
@@ -75,7 +78,7 @@
 
 // mayRun reports whether the request may run at the server.
 func (x *exchange) mayRun(s *server) bool {
-	if x.only != "" && s.Version != x.only || x.except != "" && s.Version == x.except {
+	if !x.allow(s.Version) {
 		return false
 	}
 	if len(x.route.Homes) > 0 && !slices.Contains(x.route.Homes, s.Region) {
--- a/host/entry/request.go
+++ b/host/entry/request.go
@@ -51,10 +51,7 @@
 	object     uint64
 	print      uint64
 	times      *routeTimes
-	// only and except restrict the versions of the service.
-	only, except string
-	// moved is set when the service has moved to only for good.
-	moved bool
+	versions
 	tried []*server
 	// runs counts the servers that may have run the request.
 	runs int
@@ -108,7 +105,7 @@
 	x.service = x.host.parts.pick(x.routeName, x.route)
 	x.times = x.host.times.of(x.routeName, x.service, x.route)
 	x.host.retries.request(x.service)
-	x.only, x.except, x.moved = x.host.version(v, x.service)
+	x.versions = x.host.versions(v, x.service)
 	x.print = x.fingerprint()
 	if x.host.suspects.refused(x.host.now(), x.print) {
 		return callers.Refuse(http.StatusServiceUnavailable, "quarantined", "the request crashed the backend servers that ran it")
@@ -242,7 +239,7 @@
 		s, choice := x.choose(v)
 		if s == nil && x.only != "" && !x.moved {
 			// The servers of a version on trial may be cold or down; the others still serve.
-			x.only, x.except = "", x.only
+			x.versions = versions{except: x.only}
 			s, choice = x.choose(v)
 		}
 		left := time.Until(x.deadline)
--- a/host/entry/rollouts.go
+++ b/host/entry/rollouts.go
@@ -68,34 +68,79 @@
 	t.state = t.state.WithRecorded(recorded)
 }
 
-// version tells which versions the next request of the service may go to: only or except is the target of a rollout.
-// moved is set when only is the version for good.
-func (h *Host) version(v *view, service string) (only, except string, moved bool) {
+// versions restricts a request to some versions of its service while a rollout runs.
+type versions struct {
+	// only or except is the target of the rollout, the other one is empty.
+	only, except string
+	// moved is set when the service has moved to only for good.
+	moved bool
+	// packed is set while only is on trial with a part of the requests.
+	packed bool
+}
+
+// allow reports whether a server of the version may get the request.
+func (v versions) allow(version string) bool {
+	return (v.only == "" || version == v.only) && (v.except == "" || version != v.except)
+}
+
+// versions tells which versions the next request of the service may go to.
+func (h *Host) versions(v *view, service string) versions {
 	t := v.rollouts[service]
 	if t == nil {
-		return "", "", false
+		return versions{}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	target := t.state.Order.Target
 	part := t.state.Share(h.now(), h.limits.Load().ExposureShare)
 	if part >= 1 {
-		return target, "", t.state.Phase == rollout.Finished
+		return versions{only: target, moved: t.state.Phase == rollout.Finished}
 	}
 	t.credit = min(t.credit+part, 2)
 	if t.credit >= 1 {
 		t.credit--
-		return target, "", false
+		return versions{only: target, packed: true}
 	}
-	return "", target, false
+	return versions{except: target}
 }
 
-// observe adds an answer to the evidence about a rollout.
-func (h *Host) observe(v *view, s *server, route string, failed, slow bool) {
+// evidence is what one request tells about a rollout of its service; nil stands for no rollout.
+type evidence struct {
+	trial  *trial
+	server *server
+	route  string
+	timer  *time.Timer
+	once   sync.Once
+}
+
+// evidence begins the observation of a request to the server. A request without an answer after slowAfter counts as slow
+// at once, since the answers of a slow version would come too late.
+func (h *Host) evidence(v *view, s *server, route string, slowAfter time.Duration) *evidence {
 	t := v.rollouts[s.Service]
 	if t == nil {
-		return
+		return nil
 	}
+	e := &evidence{trial: t, server: s, route: route}
+	e.timer = time.AfterFunc(slowAfter, func() { e.add(false, true) })
+	return e
+}
+
+// close ends the observation; a request without an outcome says nothing.
+func (e *evidence) close() {
+	if e != nil {
+		e.timer.Stop()
+	}
+}
+
+// add notes the outcome of the request, the first one only. Only a server's own error is a failure: an answer that was
+// lost or spoilt on its way counts as slow, because networks lose the answers of every version alike.
+func (e *evidence) add(failed, slow bool) {
+	if e != nil {
+		e.once.Do(func() { e.trial.observe(e.server, e.route, failed, slow) })
+	}
+}
+
+func (t *trial) observe(s *server, route string, failed, slow bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	counts := rollout.Counts{N: 1, Timed: 1}
@@ -199,7 +244,7 @@
 	batch := since(total, t.seen)
 	t.seen = total
 	now := h.now()
-	t.state = t.state.WithAnswers(now, batch)
+	t.state = t.state.WithAnswers(batch)
 	t.batch = t.batch.Plus(batch)
 	if now-t.batchAt >= rollout.BatchEvery {
 		t.state = t.state.WithBatch(t.batch)
--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -193,9 +193,10 @@
 	f.t.Cleanup(func() {
 		_ = command.Process.Signal(syscall.SIGCONT)
 		_ = command.Process.Kill()
-		_ = command.Wait()
+		ended := command.Wait()
 		if f.t.Failed() {
-			f.t.Logf("log of %s:\n%s", p.id, p.log.String())
+			// "signal: killed" is this clean-up; anything else says that the host ended by itself.
+			f.t.Logf("%s ended with %v; its log:\n%s", p.id, ended, p.log.String())
 		}
 	})
 }
