Count a silent host as dead only after its configuration cannot be fresh

A frozen host's connections are retired 1.8 s after its last sign, so that a statement of freshness may wait in its socket; it counts for 3 s, until 4.8 s after the sign, while the host counted as dead, and a withdrawal as accepted, after 4.5 s. Ruled out: the exit of the host (it was killed by the clean-up only).

--- a/core/membership/member.go
+++ b/core/membership/member.go
@@ -117,10 +117,11 @@
 	Forget time.Duration
 }
 
-// DefaultTiming returns the periods of the design page.
+// DefaultTiming returns the periods of the design page. A host counts as dead only after its last proof of a fresh
+// configuration has run out, which may have been sent until its connections were retired.
 func DefaultTiming() Timing {
 	return Timing{
-		Heartbeat: time.Second, SuspectAfter: 1500 * time.Millisecond, DeadAfter: 3 * time.Second,
+		Heartbeat: time.Second, SuspectAfter: 1500 * time.Millisecond, DeadAfter: 4 * time.Second,
 		Probe: 5 * time.Second, Forget: 24 * time.Hour,
 	}
 }
