Judge a request by the configuration that its proof of freshness is about

Cause: a request took its configuration, then a host that woke up took the newest one with its proof, and the request was let through by that proof with the old key. The one 'connection refused' was a SIGHUP that the kernel sent to the stopped host when the shell of the run ended; hosts of the tests have a session of their own now. Change: when the configuration in force has changed, the team is looked up again.

--- /dev/null
+++ b/core/watchers/watchers.go
@@ -0,0 +1,38 @@
+// Package watchers decides which hosts of a region watch the store. The others follow these hosts, so that the calls to
+// the store grow with the number of regions and not with the fleet.
+package watchers
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Count is the number of hosts of a region that watch the store. With two, the region misses nothing while one dies.
+const Count = 2
+
+// Host is a host of the region that was heard from lately, or this host itself.
+type Host struct {
+	Name string
+	// Away is set while the store does not answer the host.
+	Away bool
+}
+
+// Choose returns the names of the hosts that watch, in the order in which the others follow them. While the store turns
+// some hosts away, others take their place.
+func Choose(hosts []Host) []string {
+	ordered := slices.Clone(hosts)
+	slices.SortFunc(ordered, func(a, b Host) int {
+		if a.Away != b.Away {
+			if a.Away {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(a.Name, b.Name)
+	})
+	names := make([]string, 0, Count)
+	for _, h := range ordered[:min(len(ordered), Count)] {
+		names = append(names, h.Name)
+	}
+	return names
+}
--- a/host/entry/fleet.go
+++ b/host/entry/fleet.go
@@ -46,6 +46,16 @@
 	Leaving
 )
 
+// StoreState says whether the store answers a host.
+type StoreState uint8
+
+// The states of the store as a host sees it. A host that follows others does not ask the store itself.
+const (
+	StoreUnknown StoreState = iota
+	StoreReached
+	StoreAway
+)
+
 // Message is what hosts tell each other. It must fit datagrams.MaxBytes.
 type Message struct {
 	_    struct{} `cbor:",toarray"`
@@ -60,9 +70,10 @@
 	Demand  map[uint32]uint16
 	Crashes []Crash
 	Trials  []TrialReport
-	// Store is set while the host reaches the store, Polls while it reads the store often; a poller states its Digests.
-	Store, Polls bool
-	Digests      Digests
+	Store   StoreState
+	// Polls is set while the host reads the store often; a poller states its Digests.
+	Polls   bool
+	Digests Digests
 }
 
 // TrialReport is what a host saw of a running rollout.
@@ -197,7 +208,7 @@
 	defer h.fleet.mu.Unlock()
 	for _, p := range h.fleet.peers {
 		switch {
-		case !h.fleet.alive(p, now) || !p.Store:
+		case !h.fleet.alive(p, now) || p.Store != StoreReached:
 		case p.region == h.settings.Region:
 			near = append(near, p.address.String())
 		default:
@@ -257,7 +268,7 @@
 	for _, crash := range m.Crashes {
 		f.host.suspects.heard(now, crash)
 	}
-	if m.Store {
+	if m.Store == StoreReached {
 		f.host.storeServesOthers()
 	}
 	f.host.hearTrials(now, m)
@@ -329,7 +340,7 @@
 	if current := h.view.Load().configuration; current != nil {
 		m.Sequence = current.Sequence
 	}
-	m.Store = h.reachesStore()
+	m.Store = h.storeState()
 	h.refresher.mu.Lock()
 	if m.Polls = h.refresher.polling; m.Polls {
 		m.Digests = h.refresher.digests
--- /dev/null
+++ b/host/entry/follow.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"vanillatally/core/watchers"
+	"vanillatally/io/events"
+)
+
+const (
+	// watcherSilence is the time without a message after which a watcher is not followed. With the time of a read it stays
+	// below the time in which a change has to be in force.
+	watcherSilence = 1500 * time.Millisecond
+	// awayMemory is how long a host whom the store turned away leaves the watch to others.
+	awayMemory = 5 * time.Second
+)
+
+// following holds which hosts this host follows in place of the store.
+type following struct {
+	mu sync.Mutex
+	// addresses are the peer addresses of the followed hosts; it is empty while this host watches the store.
+	addresses []string
+	// awayUntil is the time until which this host counts as turned away by the store.
+	awayUntil time.Duration
+}
+
+// Follow returns the peer addresses of the hosts from which this host takes the store's objects, in the order of
+// preference; none means that it watches the store itself.
+func (h *Host) Follow() []string {
+	h.following.mu.Lock()
+	defer h.following.mu.Unlock()
+	return h.following.addresses
+}
+
+// Turned receives when the hosts to follow have changed.
+func (h *Host) Turned(kind Kind) <-chan struct{} { return h.refresher.turned[kind] }
+
+// storeFailed notes that the store did not answer a call of this host.
+func (f *following) storeFailed(now time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.awayUntil = now + awayMemory
+}
+
+// chooseWatchers decides whether this host watches the store or follows others.
+func (f *fleet) chooseWatchers(now time.Duration) {
+	addresses := f.watchers(now)
+	state := &f.host.following
+	state.mu.Lock()
+	same := slices.Equal(addresses, state.addresses)
+	state.addresses = addresses
+	state.mu.Unlock()
+	if same {
+		return
+	}
+	f.host.log.Emit(events.WatchersChanged, "follows", addresses)
+	for kind := range f.host.refresher.turned {
+		wake(f.host.refresher.turned[kind])
+	}
+}
+
+// watchers returns the peer addresses of the watchers of this host's region, none when this host is one of them.
+func (f *fleet) watchers(now time.Duration) []string {
+	f.host.following.mu.Lock()
+	away := now < f.host.following.awayUntil
+	f.host.following.mu.Unlock()
+	own := f.host.settings
+	hosts := []watchers.Host{{Name: own.Host, Away: away}}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, p := range f.peers {
+		if p.region == own.Region && p.State == Ready && now-p.heardAt < watcherSilence {
+			hosts = append(hosts, watchers.Host{Name: name, Away: p.Store == StoreAway})
+		}
+	}
+	chosen := watchers.Choose(hosts)
+	if slices.Contains(chosen, own.Host) {
+		return nil
+	}
+	addresses := make([]string, len(chosen))
+	for i, name := range chosen {
+		addresses[i] = f.peers[name].address.String()
+	}
+	return addresses
+}
--- a/host/entry/host.go
+++ b/host/entry/host.go
@@ -62,6 +62,7 @@
 	fleet   *fleet
 	// refresher finds out that the view of the store is out of date.
 	refresher *refresher
+	following following
 	times     times
 	teams     teams
 	retries   retries
@@ -89,8 +90,7 @@
 	listed    bool
 	// storeErrors holds the error of the last call for each kind of objects, nil when it was answered.
 	storeErrors map[Kind]error
-	// outageElsewhere is set while no other host is known to reach the store, since the last outage began.
-	outageElsewhere bool
+	served      served
 	// keepUntil is the time until which vanished servers are kept.
 	keepUntil time.Duration
 
@@ -118,7 +118,7 @@
 	drainNotice = 2500 * time.Millisecond
 	// drainMargin is the part of the grace that is left for the end of the process.
 	drainMargin = 500 * time.Millisecond
-	// expireEvery is how often servers whose entries vanished are looked at.
+	// expireEvery is how often servers whose entries vanished and hosts to follow are looked at.
 	expireEvery = 200 * time.Millisecond
 )
 
@@ -298,7 +298,7 @@
 	}
 }
 
-// expire looks at the servers whose entries vanished until ctx ends.
+// expire looks at the servers whose entries vanished, and at the hosts to follow, until ctx ends.
 func (h *Host) expire(ctx context.Context) error {
 	ticker := time.NewTicker(expireEvery)
 	defer ticker.Stop()
@@ -308,6 +308,7 @@
 			return nil
 		case <-ticker.C:
 			h.expireVanished()
+			h.fleet.chooseWatchers(h.now())
 		}
 	}
 }
--- a/host/entry/refresh.go
+++ b/host/entry/refresh.go
@@ -48,14 +48,14 @@
 	differs [kindCount]time.Duration
 	read    [kindCount]time.Duration
 	polling bool
-	// again wakes the reader of each kind.
-	again [kindCount]chan struct{}
+	// again wakes the reader of each kind to list the objects, turned to follow other hosts.
+	again, turned [kindCount]chan struct{}
 }
 
 func newRefresher() *refresher {
 	r := &refresher{}
 	for kind := range r.again {
-		r.again[kind] = make(chan struct{}, 1)
+		r.again[kind], r.turned[kind] = make(chan struct{}, 1), make(chan struct{}, 1)
 	}
 	return r
 }
@@ -90,15 +90,16 @@
 	r.polling = polling
 	if polling {
 		for kind := range r.again {
-			r.wake(Kind(kind))
+			wake(r.again[kind])
 		}
 	}
 	return true
 }
 
-func (r *refresher) wake(kind Kind) {
+// wake leaves a signal, unless one waits already.
+func wake(signal chan<- struct{}) {
 	select {
-	case r.again[kind] <- struct{}{}:
+	case signal <- struct{}{}:
 	default:
 	}
 }
@@ -115,7 +116,7 @@
 			r.differs[kind] = now
 		case now-r.differs[kind] >= differsFor && now-r.read[kind] >= refreshEvery:
 			r.read[kind], r.differs[kind] = now, 0
-			r.wake(kind)
+			wake(r.again[kind])
 			stale = append(stale, kind)
 		}
 	}
@@ -141,11 +142,11 @@
 // choosePollers decides whether this host is a poller: the first hosts by name of those that reach the store are.
 func (f *fleet) choosePollers(now time.Duration) {
 	polls := false
-	if f.host.reachesStore() {
+	if f.host.storeState() == StoreReached {
 		names := []string{f.host.settings.Host}
 		f.mu.Lock()
 		for name, p := range f.peers {
-			if f.alive(p, now) && p.Store {
+			if f.alive(p, now) && p.Store == StoreReached {
 				names = append(names, name)
 			}
 		}
@@ -164,3 +165,14 @@
 	defer h.mu.Unlock()
 	return h.listed && !h.storeAway()
 }
+
+// storeState is what this host says of the store.
+func (h *Host) storeState() StoreState {
+	switch {
+	case len(h.Follow()) > 0:
+		return StoreUnknown
+	case h.reachesStore():
+		return StoreReached
+	}
+	return StoreAway
+}
--- a/host/entry/view.go
+++ b/host/entry/view.go
@@ -165,8 +165,12 @@
 	}
 }
 
-// SetStore notes whether the last call for a kind of objects was answered; err is nil when it was.
-func (h *Host) SetStore(kind Kind, err error) {
+// SetStore notes whether the last call for a kind of objects was answered; err is nil when it was. direct is set for calls
+// to the store itself, and not for those to a host that is followed.
+func (h *Host) SetStore(kind Kind, err error, direct bool) {
+	if err != nil && direct {
+		h.following.storeFailed(h.now())
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if (h.storeErrors[kind] == nil) == (err == nil) {
@@ -174,21 +178,44 @@
 	}
 	h.storeErrors[kind] = err
 	if err != nil {
-		h.outageElsewhere = true
 		h.log.Emit(events.StoreLost, "kind", kind.String(), "error", err.Error())
 		return
 	}
-	if h.outageElsewhere {
+	served := h.served.throughout(h.now())
+	if !served {
 		h.keepUntil = h.now() + relistGrace
 	}
-	h.log.Emit(events.StoreRegained, "kind", kind.String(), "outage-elsewhere", h.outageElsewhere)
+	h.log.Emit(events.StoreRegained, "kind", kind.String(), "served-others", served)
+}
+
+// served is the span in which other hosts stated that they reach the store.
+type served struct{ from, last time.Duration }
+
+const (
+	// statementGap is the time between two statements from which a new span begins.
+	statementGap = 1500 * time.Millisecond
+	// servedFor is the least length of the span that shows that the store served others in this host's outage. A store that
+	// returned for all is found by some hosts a little earlier than by others.
+	servedFor = 1500 * time.Millisecond
+)
+
+func (s served) withStatement(now time.Duration) served {
+	if s.last == 0 || now-s.last > statementGap {
+		return served{from: now, last: now}
+	}
+	return served{from: s.from, last: now}
+}
+
+// throughout reports whether the store served other hosts until now for longer than hosts differ in finding it back.
+func (s served) throughout(now time.Duration) bool {
+	return s.last > 0 && now-s.last <= statementGap && now-s.from >= servedFor
 }
 
 // storeServesOthers notes that another host reaches the store: entries do not lapse then, and what the store lists holds.
 func (h *Host) storeServesOthers() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.outageElsewhere = false
+	h.served = h.served.withStatement(h.now())
 }
 
 // storeAway reports whether any kind of objects could not be read. The caller holds h.mu.
--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -184,6 +184,8 @@
 func (f *fleet) start(p *process) {
 	f.t.Helper()
 	p.command = exec.Command(os.Args[0])
+	// In a session of its own, a stopped host gets no SIGHUP when the shell that started the tests ends.
+	p.command.SysProcAttr = &syscall.SysProcAttr{Setsid: true}
 	p.command.Env = append(os.Environ(), settingsVariable+"="+p.file)
 	p.command.Stderr = &p.log
 	if err := p.command.Start(); err != nil {
--- a/host/request/identify.go
+++ b/host/request/identify.go
@@ -19,9 +19,7 @@
 	authorization := x.r.Header.Get("Authorization")
 	if scheme, token, ok := strings.Cut(authorization, " "); ok && strings.EqualFold(scheme, "Bearer") {
 		x.token = strings.TrimSpace(token)
-		if team, known := x.configuration.TeamByKey(x.token); known {
-			x.effective, x.team = team, team.Name
-		}
+		x.findTeam()
 	}
 	if x.token != "" && (strings.Contains(x.r.URL.Path, x.token) || strings.Contains(x.r.Host, x.token)) {
 		return callers.Refuse(http.StatusBadRequest, "key-in-path", "the path must not contain the key")
@@ -31,6 +29,14 @@
 	return x.next()
 }
 
+// findTeam looks the key up in the request's configuration.
+func (x *exchange) findTeam() {
+	x.effective, x.team = nil, ""
+	if team, known := x.configuration.TeamByKey(x.token); known {
+		x.effective, x.team = team, team.Name
+	}
+}
+
 // stripHeader removes hop-by-hop headers and every header that contains a key. Request trailers are never passed on.
 func (x *exchange) stripHeader() {
 	h := x.r.Header
--- a/host/request/route.go
+++ b/host/request/route.go
@@ -24,10 +24,17 @@
 		x.route.Service = pickPart(x.route.Split, rand.Float64())
 	}
 	if !x.route.Open {
+		fresh := x.service.options.Fresh(x.team)
+		if newest := x.service.configuration(); newest != x.configuration {
+			// The answer is about the newest configuration, in which the key may have been withdrawn.
+			x.configuration = newest
+			x.findTeam()
+			return routeRequest(x)
+		}
 		switch {
 		case x.token == "":
 			return callers.Refuse(http.StatusUnauthorized, "key-required", "the route needs a key in the Authorization header")
-		case !x.service.options.Fresh(x.team):
+		case !fresh:
 			return callers.Refuse(http.StatusServiceUnavailable, "configuration-stale",
 				"this host cannot tell whether its configuration is the newest").WithRetryAfter(retryLater)
 		case x.team == "":
--- a/io/events/catalogue.go
+++ b/io/events/catalogue.go
@@ -56,6 +56,7 @@
 	SettingsRefused    = Event{714, slog.LevelError, "changed settings were refused", "The error names the key and the accepted range; the settings in force stay."}
 	ViewOutdated       = Event{715, slog.LevelWarn, "view of the store is out of date", "A host that reads the store often knows other objects, so that a watch has gone deaf. The objects are read again."}
 	PollerChanged      = Event{716, slog.LevelInfo, "host began or ceased to read the store often", "Two hosts read the store often and the others compare with them."}
+	WatchersChanged    = Event{717, slog.LevelInfo, "host follows other hosts", "The hosts from which this host takes the store's objects; none means that it watches the store itself."}
 	PlatformFailed     = Event{701, slog.LevelWarn, "platform list could not be read", "The last list stays in use."}
 )
 
@@ -67,5 +68,5 @@
 	RequestRefused, RequestQuarantined, RequestServed, LinesOmitted,
 	MoveStep, MoveReverted, MoveDone, MoveNotRecorded,
 	PlatformFailed, StoreLost, StoreRegained, StoreInvalid, ServerListed, ServerLeaving, ServerUnlisted,
-	DomainEvacuated, DomainReturned, ServerDown, ServerUp, HostJoined, SettingsReloaded, SettingsRefused, ViewOutdated, PollerChanged,
+	DomainEvacuated, DomainReturned, ServerDown, ServerUp, HostJoined, SettingsReloaded, SettingsRefused, ViewOutdated, PollerChanged, WatchersChanged,
 }
