Let hosts know each other before they watch the store

Cause: a host that starts takes itself for a watcher and a poller until others are heard, which took up to 2.6 s; 62 hosts made 780 watches and 250 second lists then. Change: a new address is greeted at once and answered at once, the first watch and the choice of pollers wait for 1.2 s, and starting hosts count as watchers.

--- a/host/entry/fleet.go
+++ b/host/entry/fleet.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"vanillatally/core/placement"
@@ -100,7 +102,8 @@
 // fleet knows the other hosts, at most as many as the store lists.
 type fleet struct {
 	host *Host
-	node *datagrams.Node[Message]
+	// node is set once the host listens.
+	node atomic.Pointer[datagrams.Node[Message]]
 	// port is the peer port of every host.
 	port uint16
 
@@ -120,8 +123,14 @@
 		return
 	}
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.contacts[parsed] = true
+	known := f.contacts[parsed] || slices.ContainsFunc(slices.Collect(maps.Values(f.peers)), func(p *peer) bool { return p.address == parsed })
+	if !known {
+		f.contacts[parsed] = true
+	}
+	f.mu.Unlock()
+	if !known {
+		f.sendTo([]netip.AddrPort{parsed})
+	}
 }
 
 // hosts returns the number of hosts that were heard from lately, this one included.
@@ -265,6 +274,10 @@
 	f.peers[m.Host] = &peer{Message: m, address: address, region: f.host.settings.Regions[m.FailureDomain], heardAt: now}
 	delete(f.contacts, address)
 	f.mu.Unlock()
+	if known == nil {
+		// A host that starts has to know soon who runs.
+		f.sendTo([]netip.AddrPort{address})
+	}
 	for _, crash := range m.Crashes {
 		f.host.suspects.heard(now, crash)
 	}
@@ -296,12 +309,15 @@
 }
 
 // send sends one message to each host that is known.
-func (f *fleet) send() {
-	addresses := f.addresses(f.host.now())
-	if len(addresses) == 0 {
+func (f *fleet) send() { f.sendTo(f.addresses(f.host.now())) }
+
+// sendTo sends one message to the addresses; before the host listens, or without an address, it does nothing.
+func (f *fleet) sendTo(addresses []netip.AddrPort) {
+	node := f.node.Load()
+	if len(addresses) == 0 || node == nil {
 		return
 	}
-	if err := f.node.Send(f.message(), addresses); err != nil {
+	if err := node.Send(f.message(), addresses); err != nil {
 		f.host.log.Emit(events.PeerNotTold, "error", err)
 	}
 }
--- a/host/entry/follow.go
+++ b/host/entry/follow.go
@@ -15,6 +15,8 @@
 	watcherSilence = 1500 * time.Millisecond
 	// awayMemory is how long a host whom the store turned away leaves the watch to others.
 	awayMemory = 5 * time.Second
+	// fleetHeard is the time after the start within which the other hosts are heard.
+	fleetHeard = 1200 * time.Millisecond
 )
 
 // following holds which hosts this host follows in place of the store.
@@ -34,6 +36,9 @@
 	return h.following.addresses
 }
 
+// Settled receives once this host knows whether it watches the store. Before, each host would take itself for a watcher.
+func (h *Host) Settled() <-chan time.Time { return time.After(fleetHeard - h.now()) }
+
 // Turned receives when the hosts to follow have changed.
 func (h *Host) Turned(kind Kind) <-chan struct{} { return h.refresher.turned[kind] }
 
@@ -71,7 +76,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for name, p := range f.peers {
-		if p.region == own.Region && p.State == Ready && now-p.heardAt < watcherSilence {
+		if p.region == own.Region && p.State != Leaving && now-p.heardAt < watcherSilence {
 			hosts = append(hosts, watchers.Host{Name: name, Away: p.Store == StoreAway})
 		}
 	}
--- a/host/entry/host.go
+++ b/host/entry/host.go
@@ -249,7 +249,7 @@
 	for i, server := range servers {
 		group.Go(func() error { return callers.Serve(server, listeners[i+1]) })
 	}
-	for _, run := range []func(context.Context) error{h.client.Run, h.fleet.node.Run, h.fleet.run, h.runTrials, h.expire} {
+	for _, run := range []func(context.Context) error{h.client.Run, h.fleet.node.Load().Run, h.fleet.run, h.runTrials, h.expire} {
 		group.Go(func() error { return run(parts) })
 	}
 	h.callers.Start(listeners[0])
@@ -283,8 +283,8 @@
 	if err != nil {
 		return err
 	}
-	h.fleet.node = node
 	h.fleet.port = netip.MustParseAddrPort(h.settings.PeerAddress).Port()
+	h.fleet.node.Store(node)
 	for _, seed := range h.settings.Seeds {
 		h.contactSeed(seed)
 	}
--- a/host/entry/refresh.go
+++ b/host/entry/refresh.go
@@ -141,6 +141,9 @@
 
 // choosePollers decides whether this host is a poller: the first hosts by name of those that reach the store are.
 func (f *fleet) choosePollers(now time.Duration) {
+	if now < fleetHeard {
+		return
+	}
 	polls := false
 	if f.host.storeState() == StoreReached {
 		names := []string{f.host.settings.Host}
