--- a/host/entry/fleet.go
+++ b/host/entry/fleet.go
@@ -73,9 +73,9 @@
 	Crashes []Crash
 	Trials  []TrialReport
 	Store   StoreState
-	// Polls is set while the host reads the store often; a poller states its Digests.
-	Polls   bool
-	Digests Digests
+	// Digests and Revisions are stated by hosts that watch the store.
+	Digests   Digests
+	Revisions Revisions
 }
 
 // TrialReport is what a host saw of a running rollout.
@@ -285,7 +285,7 @@
 		f.host.storeServesOthers()
 	}
 	f.host.hearTrials(now, m)
-	f.host.hearDigests(now, m)
+	f.host.refresher.compare(now, m.Digests, m.Revisions)
 }
 
 // run sends messages until ctx ends.
@@ -357,11 +357,11 @@
 		m.Sequence = current.Sequence
 	}
 	m.Store = h.storeState()
-	h.refresher.mu.Lock()
-	if m.Polls = h.refresher.polling; m.Polls {
-		m.Digests = h.refresher.digests
+	if m.Store != StoreUnknown {
+		h.refresher.mu.Lock()
+		m.Digests, m.Revisions = h.refresher.digests, h.refresher.revisions
+		h.refresher.mu.Unlock()
 	}
-	h.refresher.mu.Unlock()
 	switch {
 	case h.draining.Load():
 		m.State = Leaving
--- a/host/entry/fleet_test.go
+++ b/host/entry/fleet_test.go
@@ -71,18 +71,24 @@
 	expect("silent", "north")
 }
 
-// Guards against a view that stays old because a watch has gone deaf, and against hosts that read the store without need.
-func TestDifferenceFromAPollerIsRead(t *testing.T) {
+// Guards against a view that stays old because a watch has gone deaf, while one host knows newer objects and another one
+// the same old ones, and against hosts that read the store without need.
+func TestOutdatedViewIsReadAgain(t *testing.T) {
 	r := newRefresher()
-	r.digests = Digests{Configuration: 5, BackendServers: 6}
-	theirs := Digests{Configuration: 5, BackendServers: 7}
-	if stale := r.compare(10*time.Second, theirs); len(stale) != 0 {
-		t.Errorf("%v read at the first difference", stale)
+	r.digests, r.revisions = Digests{Configuration: 5, BackendServers: 6, Rollouts: 8}, Revisions{Configuration: 20, BackendServers: 20, Rollouts: 30}
+	newer := func(now time.Duration) {
+		// The rollouts of this host are the newer ones.
+		r.compare(now, Digests{Configuration: 5, BackendServers: 7, Rollouts: 7}, Revisions{Configuration: 40, BackendServers: 21, Rollouts: 29})
 	}
-	if stale := r.compare(10*time.Second+differsFor/2, theirs); len(stale) != 0 {
+	same := func(now time.Duration) { r.compare(now, r.digests, r.revisions) }
+	const at = 10 * time.Second
+	newer(at)
+	same(at + differsFor/4)
+	if stale := r.due(at + differsFor/2); len(stale) != 0 {
 		t.Errorf("%v read while the change may be on its way", stale)
 	}
-	if stale := r.compare(10*time.Second+differsFor, theirs); len(stale) != 1 || stale[0] != BackendServers {
+	same(at + differsFor/2)
+	if stale := r.due(at + differsFor); len(stale) != 1 || stale[0] != BackendServers {
 		t.Errorf("%v read, want the backend servers", stale)
 	}
 	select {
@@ -90,7 +96,14 @@
 	default:
 		t.Error("the reader was not woken")
 	}
-	if stale := r.compare(11*time.Second, theirs); len(stale) != 0 {
+	newer(at + differsFor)
+	if stale := r.due(at + differsFor + refreshEvery/2); len(stale) != 0 {
 		t.Errorf("%v read again at once", stale)
 	}
+	h := &Host{refresher: r}
+	h.SetDigest(BackendServers, 7, 21)
+	newer(at + 2*refreshEvery)
+	if stale := r.due(at + 4*refreshEvery); len(stale) != 0 {
+		t.Errorf("%v read again after the newer objects were taken in", stale)
+	}
 }
--- a/host/entry/host.go
+++ b/host/entry/host.go
@@ -309,6 +309,7 @@
 		case <-ticker.C:
 			h.expireVanished()
 			h.fleet.chooseWatchers(h.now())
+			h.refresh(h.now())
 		}
 	}
 }
--- a/host/entry/refresh.go
+++ b/host/entry/refresh.go
@@ -30,9 +30,9 @@
 	// pollWait is how long the watch of a poller waits, restWait that of the other hosts.
 	pollWait = 2 * time.Second
 	restWait = 20 * time.Second
-	// differsFor is how long a host's view differs from that of a poller before the host reads the objects again. It
-	// covers the time that a change takes to reach both.
-	differsFor = 700 * time.Millisecond
+	// differsFor is how long a host's view is older than that of another host before the host reads the objects again. It
+	// covers the time that a change takes to reach both, and the pause in which changes are collected.
+	differsFor = 500 * time.Millisecond
 	// refreshEvery bounds how often objects of a kind are read again.
 	refreshEvery = 2 * time.Second
 )
@@ -40,13 +40,19 @@
 // Digests identifies what a host knows of each kind: equal digests stand for equal objects.
 type Digests [kindCount]uint32
 
+// Revisions holds the store's revision at which a host last saw a change of each kind. Of two hosts with different digests
+// the one with the higher revision knows the newer objects.
+type Revisions [kindCount]uint64
+
 // refresher finds out that this host's view of the store is out of date.
 type refresher struct {
-	mu      sync.Mutex
-	digests Digests
-	// differs holds since when a poller's digest differs from this host's, 0 while it does not.
-	differs [kindCount]time.Duration
-	read    [kindCount]time.Duration
+	mu        sync.Mutex
+	digests   Digests
+	revisions Revisions
+	// older holds since when another host is known to have newer objects, 0 while none is.
+	older [kindCount]time.Duration
+	read  [kindCount]time.Duration
+	// polling is set while this host's watches are short.
 	polling bool
 	// again wakes the reader of each kind to list the objects, turned to follow other hosts.
 	again, turned [kindCount]chan struct{}
@@ -60,11 +66,11 @@
 	return r
 }
 
-// SetDigest notes what this host knows of a kind.
-func (h *Host) SetDigest(kind Kind, digest uint32) {
+// SetDigest notes what this host knows of a kind at a revision of the store.
+func (h *Host) SetDigest(kind Kind, digest uint32, revision uint64) {
 	h.refresher.mu.Lock()
 	defer h.refresher.mu.Unlock()
-	h.refresher.digests[kind], h.refresher.differs[kind] = digest, 0
+	h.refresher.digests[kind], h.refresher.revisions[kind], h.refresher.older[kind] = digest, revision, 0
 }
 
 // Again receives when the objects of a kind have to be read again.
@@ -104,18 +110,25 @@
 	}
 }
 
-// compare takes in a poller's digests.
-func (r *refresher) compare(now time.Duration, theirs Digests) (stale []Kind) {
+// compare takes in what another host knows.
+func (r *refresher) compare(now time.Duration, digests Digests, revisions Revisions) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for kind := range kindCount {
+		newer := digests[kind] != 0 && digests[kind] != r.digests[kind] && revisions[kind] > r.revisions[kind]
+		if newer && r.older[kind] == 0 {
+			r.older[kind] = now
+		}
+	}
+}
+
+// due wakes the readers of the kinds whose objects have been older than those of another host for too long.
+func (r *refresher) due(now time.Duration) (stale []Kind) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for kind := range kindCount {
-		switch {
-		case theirs[kind] == 0 || theirs[kind] == r.digests[kind]:
-			r.differs[kind] = 0
-		case r.differs[kind] == 0:
-			r.differs[kind] = now
-		case now-r.differs[kind] >= differsFor && now-r.read[kind] >= refreshEvery:
-			r.read[kind], r.differs[kind] = now, 0
+		if since := r.older[kind]; since > 0 && now-since >= differsFor && now-r.read[kind] >= refreshEvery {
+			r.read[kind], r.older[kind] = now, 0
 			wake(r.again[kind])
 			stale = append(stale, kind)
 		}
@@ -123,20 +136,11 @@
 	return stale
 }
 
-// hearDigests compares this host's view of the store with that of a poller.
-func (h *Host) hearDigests(now time.Duration, m Message) {
-	if !m.Polls || h.refresher.isPolling() {
-		return
+// refresh reads again what is out of date.
+func (h *Host) refresh(now time.Duration) {
+	for _, kind := range h.refresher.due(now) {
+		h.log.Emit(events.ViewOutdated, "kind", kind.String())
 	}
-	for _, kind := range h.refresher.compare(now, m.Digests) {
-		h.log.Emit(events.ViewOutdated, "kind", kind.String(), "poller", m.Host)
-	}
-}
-
-func (r *refresher) isPolling() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.polling
 }
 
 // choosePollers decides whether this host is a poller: the first hosts by name of those that reach the store are.
