Send fewer messages to hosts of other regions in a large fleet

Cause: every host told every other one each 0.6 s; at 62 to 65 hosts these messages were most of the bytes between regions. Change: from 20 hosts on, hosts of other regions get every second or third message and count as gone later.

--- a/host/entry/fleet.go
+++ b/host/entry/fleet.go
@@ -30,6 +30,12 @@
 	fleetKnown = 3 * time.Second
 	// silentEvery is how many ticks pass between two messages to a host that is silent.
 	silentEvery = 4
+	// farHosts is the number of hosts for each tick between two messages to a host of another region, and maxFarEvery bounds
+	// these ticks: links between regions carry few of the messages of a large fleet.
+	farHosts    = 20
+	maxFarEvery = 3
+	// farSilence is added to silentAfter for each of these ticks beyond the first.
+	farSilence = 1500 * time.Millisecond
 	// rateScale turns rates per second into the integers of messages.
 	rateScale = 8
 	// maxCrashes, maxDemands and maxTrials bound a message.
@@ -154,8 +160,20 @@
 	return 1 + len(f.peers) + len(f.contacts)
 }
 
+// alive reports whether the host was heard from lately and does not leave. The caller holds f.mu.
 func (f *fleet) alive(p *peer, now time.Duration) bool {
-	return now-p.heardAt < silentAfter && p.State != Leaving
+	return now-p.heardAt < f.silence(p) && p.State != Leaving
+}
+
+// farEvery is the number of ticks between two messages to a host of another region. The caller holds f.mu.
+func (f *fleet) farEvery() int { return min(max(1, len(f.peers)/farHosts), maxFarEvery) }
+
+// silence is the time without a message after which the host is left out. The caller holds f.mu.
+func (f *fleet) silence(p *peer) time.Duration {
+	if p.region == f.host.settings.Region {
+		return silentAfter
+	}
+	return silentAfter + time.Duration(f.farEvery()-1)*farSilence
 }
 
 // demand sums up what the other hosts see of a team's demand, in requests per second.
@@ -332,7 +350,13 @@
 			delete(f.peers, name)
 			continue
 		}
-		if now-p.heardAt < silentAfter || f.ticks%silentEvery == 0 {
+		every := 1
+		if now-p.heardAt >= f.silence(p) {
+			every = silentEvery
+		} else if p.region != f.host.settings.Region {
+			every = f.farEvery()
+		}
+		if (f.ticks+int(shortHash(name)))%every == 0 {
 			addresses = append(addresses, p.address)
 		}
 	}
--- a/host/entry/fleet_test.go
+++ b/host/entry/fleet_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -107,3 +108,33 @@
 		t.Errorf("%v read again after the newer objects were taken in", stale)
 	}
 }
+
+// Guards against a large fleet whose messages between regions grow with the square of its size, and against hosts of other
+// regions that count as gone between two of the messages that they get.
+func TestMessagesBetweenRegionsAreRare(t *testing.T) {
+	for _, hosts := range []int{8, 64} {
+		h := newTestHost(t, newBackend(t, good))
+		f := h.fleet
+		for i := range hosts {
+			region := []string{h.settings.Region, "elsewhere"}[i%2]
+			f.peers[fmt.Sprint("host-", i)] = &peer{region: region, address: netip.MustParseAddrPort(fmt.Sprintf("10.0.%d.1:1", i)), heardAt: h.now()}
+		}
+		const ticks = 12
+		sent := 0
+		for range ticks {
+			sent += len(f.addresses(h.now()))
+		}
+		want := ticks * hosts
+		if hosts > farHosts {
+			want = ticks*hosts/2 + ticks*hosts/2/maxFarEvery
+		}
+		if sent != want {
+			t.Errorf("%d hosts: %d messages in %d ticks, want %d", hosts, sent, ticks, want)
+		}
+		far := f.peers["host-1"]
+		between := time.Duration(f.farEvery()) * (tick + tickJitter)
+		if !f.alive(far, far.heardAt+2*between) && hosts > farHosts {
+			t.Errorf("%d hosts: a host counts as gone after one lost message", hosts)
+		}
+	}
+}
--- a/host/entry/suspects.go
+++ b/host/entry/suspects.go
@@ -15,7 +15,7 @@
 	// maxSuspects bounds the requests that are remembered; beyond it the oldest is forgotten.
 	maxSuspects = 512
 	// crashRepeats is how often other hosts are told of a crash, since messages may be lost.
-	crashRepeats = 4
+	crashRepeats = 6
 )
 
 // Crash says that a request was running at a server that crashed.
