--- a/core/watchers/watchers.go
+++ b/core/watchers/watchers.go
@@ -10,11 +10,21 @@
 // Count is the number of hosts of a region that watch the store. With two, the region misses nothing while one dies.
 const Count = 2
 
+// Store says what a host knows of the store.
+type Store uint8
+
+// The states of the store, in the order in which hosts are chosen: one that watches already goes first, and one that the
+// store turned away goes last, even while it follows others.
+const (
+	Reached Store = iota
+	Unknown
+	Away
+)
+
 // Host is a host of the region that was heard from lately, or this host itself.
 type Host struct {
-	Name string
-	// Away is set while the store does not answer the host.
-	Away bool
+	Name  string
+	Store Store
 }
 
 // Choose returns the names of the hosts that watch, in the order in which the others follow them. While the store turns
@@ -22,13 +32,7 @@
 func Choose(hosts []Host) []string {
 	ordered := slices.Clone(hosts)
 	slices.SortFunc(ordered, func(a, b Host) int {
-		if a.Away != b.Away {
-			if a.Away {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Compare(a.Name, b.Name)
+		return cmp.Or(cmp.Compare(a.Store, b.Store), cmp.Compare(a.Name, b.Name))
 	})
 	names := make([]string, 0, Count)
 	for _, h := range ordered[:min(len(ordered), Count)] {
--- a/host/entry/fleet.go
+++ b/host/entry/fleet.go
@@ -12,6 +12,7 @@
 
 	"vanillatally/core/placement"
 	"vanillatally/core/rollout"
+	"vanillatally/core/watchers"
 	"vanillatally/io/datagrams"
 	"vanillatally/io/events"
 )
@@ -54,16 +55,6 @@
 	Leaving
 )
 
-// StoreState says whether the store answers a host.
-type StoreState uint8
-
-// The states of the store as a host sees it. A host that follows others does not ask the store itself.
-const (
-	StoreUnknown StoreState = iota
-	StoreReached
-	StoreAway
-)
-
 // Message is what hosts tell each other. It must fit datagrams.MaxBytes.
 type Message struct {
 	_    struct{} `cbor:",toarray"`
@@ -78,7 +69,7 @@
 	Demand  map[uint32]uint16
 	Crashes []Crash
 	Trials  []TrialReport
-	Store   StoreState
+	Store   watchers.Store
 	// Digests and Revisions are stated by hosts that watch the store.
 	Digests   Digests
 	Revisions Revisions
@@ -235,7 +226,7 @@
 	defer h.fleet.mu.Unlock()
 	for _, p := range h.fleet.peers {
 		switch {
-		case !h.fleet.alive(p, now) || p.Store != StoreReached:
+		case !h.fleet.alive(p, now) || p.Store != watchers.Reached:
 		case p.region == h.settings.Region:
 			near = append(near, p.address.String())
 		default:
@@ -308,7 +299,7 @@
 	for _, crash := range m.Crashes {
 		f.host.suspects.heard(now, crash)
 	}
-	if m.Store == StoreReached {
+	if m.Store == watchers.Reached {
 		f.host.storeServesOthers()
 	}
 	f.host.hearTrials(now, m)
@@ -390,7 +381,7 @@
 		m.Sequence = current.Sequence
 	}
 	m.Store = h.storeState()
-	if m.Store != StoreUnknown {
+	if m.Store != watchers.Unknown {
 		h.refresher.mu.Lock()
 		m.Digests, m.Revisions = h.refresher.digests, h.refresher.revisions
 		h.refresher.mu.Unlock()
--- a/host/entry/fleet_test.go
+++ b/host/entry/fleet_test.go
@@ -6,6 +6,10 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"vanillatally/core/watchers"
 )
 
 func hear(h *Host, name, domain string, state State) {
@@ -158,3 +162,33 @@
 		t.Errorf("a domain with two hosts: %v", got)
 	}
 }
+
+// Guards against hosts that the store turns away and that follow each other, or are followed by others, so that the whole
+// region keeps an old view.
+func TestNobodyFollowsAHostThatWasTurnedAway(t *testing.T) {
+	h := newTestHost(t, newBackend(t, good))
+	h.settings.Regions = map[string]string{"north-a": "north"}
+	says := func(name string, store watchers.Store) {
+		address := netip.MustParseAddrPort("10.0.0." + name[len(name)-1:] + ":7")
+		h.fleet.port = 7
+		h.fleet.receive(address, Message{Host: name, State: Ready, FailureDomain: "north-a", Store: store})
+	}
+	says("host-2", watchers.Reached)
+	says("host-3", watchers.Reached)
+	says("host-4", watchers.Unknown)
+	if got := h.fleet.watchers(h.now()); len(got) != 0 {
+		t.Errorf("the first host that reaches the store follows %v", got)
+	}
+	h.SetStore(Configuration, errors.New("turned away"), true)
+	h.fleet.chooseWatchers(h.now())
+	if got := h.Follow(); !slices.Equal(got, []string{"10.0.0.2:7", "10.0.0.3:7"}) {
+		t.Errorf("a host that was turned away follows %v", got)
+	}
+	if got := h.storeState(); got != watchers.Away {
+		t.Errorf("it states %d while it follows", got)
+	}
+	says("host-2", watchers.Away)
+	if got := h.fleet.watchers(h.now()); !slices.Equal(got, []string{"10.0.0.3:7", "10.0.0.4:7"}) {
+		t.Errorf("with another host turned away it follows %v", got)
+	}
+}
--- a/host/entry/follow.go
+++ b/host/entry/follow.go
@@ -42,13 +42,31 @@
 // Turned receives when the hosts to follow have changed.
 func (h *Host) Turned(kind Kind) <-chan struct{} { return h.refresher.turned[kind] }
 
-// storeFailed notes that the store did not answer a call of this host.
-func (f *following) storeFailed(now time.Duration) {
+// turnedAway notes that the store did not answer a call of this host. Later answers do not take that back at once: a store
+// that turns a host away answers some of its calls.
+func (f *following) turnedAway(now time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.awayUntil = now + awayMemory
 }
 
+// storeState is what this host says of the store. A host whom the store turned away says so for a while even when it follows
+// others, so that nobody follows it.
+func (h *Host) storeState() watchers.Store {
+	h.following.mu.Lock()
+	follows, away := len(h.following.addresses) > 0, h.now() < h.following.awayUntil
+	h.following.mu.Unlock()
+	switch {
+	case away:
+		return watchers.Away
+	case follows:
+		return watchers.Unknown
+	case h.reachesStore():
+		return watchers.Reached
+	}
+	return watchers.Unknown
+}
+
 // chooseWatchers decides whether this host watches the store or follows others.
 func (f *fleet) chooseWatchers(now time.Duration) {
 	addresses := f.watchers(now)
@@ -68,16 +86,13 @@
 
 // watchers returns the peer addresses of the watchers of this host's region, none when this host is one of them.
 func (f *fleet) watchers(now time.Duration) []string {
-	f.host.following.mu.Lock()
-	away := now < f.host.following.awayUntil
-	f.host.following.mu.Unlock()
 	own := f.host.settings
-	hosts := []watchers.Host{{Name: own.Host, Away: away}}
+	hosts := []watchers.Host{{Name: own.Host, Store: f.host.storeState()}}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for name, p := range f.peers {
 		if p.region == own.Region && p.State != Leaving && now-p.heardAt < watcherSilence {
-			hosts = append(hosts, watchers.Host{Name: name, Away: p.Store == StoreAway})
+			hosts = append(hosts, watchers.Host{Name: name, Store: p.Store})
 		}
 	}
 	chosen := watchers.Choose(hosts)
--- a/host/entry/refresh.go
+++ b/host/entry/refresh.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"vanillatally/core/watchers"
 	"vanillatally/io/events"
 )
 
@@ -149,11 +150,11 @@
 		return
 	}
 	polls := false
-	if f.host.storeState() == StoreReached {
+	if f.host.storeState() == watchers.Reached {
 		names := []string{f.host.settings.Host}
 		f.mu.Lock()
 		for name, p := range f.peers {
-			if f.alive(p, now) && p.Store == StoreReached {
+			if f.alive(p, now) && p.Store == watchers.Reached {
 				names = append(names, name)
 			}
 		}
@@ -172,14 +173,3 @@
 	defer h.mu.Unlock()
 	return h.listed && !h.storeAway()
 }
-
-// storeState is what this host says of the store.
-func (h *Host) storeState() StoreState {
-	switch {
-	case len(h.Follow()) > 0:
-		return StoreUnknown
-	case h.reachesStore():
-		return StoreReached
-	}
-	return StoreAway
-}
