Divide a rate by the demand that was told, near the limit

Cause: when a team's demand jumps, each host knows its own new demand and the old one of the others, so that nine hosts' parts summed up to three times the rate. Change: near the limit a host's part rests on the demand that it told the others.

--- a/core/share/share.go
+++ b/core/share/share.go
@@ -49,11 +49,20 @@
 // parts sum up to more than one.
 const pressedPart = 0.98
 
+// Demand is what a host knows of a team's requests per second: its own, what it told the other hosts of that last, and the
+// sum of what they told.
+type Demand struct{ Own, Told, Others float64 }
+
 // OfAt returns this host's part of a limit age after its start. known is the number of hosts that may be running. Until
-// the reports of the others have come, every host would take itself for the only one.
-func OfAt(age time.Duration, rate, own, others float64, hosts, known int) float64 {
-	part := Of(rate, own, others, hosts)
-	if own+others > rate {
+// the reports of the others have come, every host would take itself for the only one. Near the limit only what was told
+// counts, so that the parts of all hosts do not exceed one together when the demand jumps.
+func OfAt(age time.Duration, rate float64, d Demand, hosts, known int) float64 {
+	own := d.Own
+	if d.Own+d.Others >= calm*rate {
+		own = min(own, d.Told)
+	}
+	part := Of(rate, own, d.Others, hosts)
+	if d.Own+d.Others > rate {
 		part *= pressedPart
 	}
 	if age < demandKnown {
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -58,7 +58,7 @@
 				}
 			}
 			own, age := rates[i].At(now), now-started[i]
-			part := OfAt(age, s.limit, own, others, running, running)
+			part := OfAt(age, s.limit, Demand{Own: own, Told: reported[i], Others: others}, running, running)
 			rates[i] = rates[i].WithEvent(now)
 			asked[second]++
 			var ok bool
@@ -192,3 +192,18 @@
 		}
 	}
 }
+
+// Guards against hosts whose parts exceed the limit together while a jump of the demand is known to each host for itself
+// and not yet to the others.
+func TestPartsSumToOneInAJump(t *testing.T) {
+	const hosts, limit, told = 9, 214.0, 15.0
+	for _, own := range []float64{told, 2 * told, 6 * told} {
+		total := 0.0
+		for range hosts {
+			total += OfAt(time.Minute, limit, Demand{Own: own, Told: told, Others: (hosts - 1) * told}, hosts, hosts)
+		}
+		if total > 1.05 {
+			t.Errorf("the parts of %d hosts with a demand of %.0f sum to %.2f", hosts, own, total)
+		}
+	}
+}
--- a/host/entry/teams.go
+++ b/host/entry/teams.go
@@ -26,6 +26,8 @@
 	hash   uint32
 	mu     sync.Mutex
 	demand share.Rate
+	// told is the demand that the other hosts were told last.
+	told   float64
 	bucket share.Bucket
 	begun  bool
 }
@@ -59,7 +61,7 @@
 	state.mu.Lock()
 	defer state.mu.Unlock()
 	own := state.demand.At(now)
-	part := share.OfAt(now, limits.Rate, own, others, hosts, t.host.fleet.known())
+	part := share.OfAt(now, limits.Rate, share.Demand{Own: own, Told: state.told, Others: others}, hosts, t.host.fleet.known())
 	state.demand = state.demand.WithEvent(now)
 	capacity := max(minTokens, (limits.Burst+rateSlackPart*t.host.limits.Load().RateSlack)*part)
 	if !state.begun {
@@ -78,6 +80,7 @@
 		state := value.(*team)
 		state.mu.Lock()
 		rate := state.demand.At(now)
+		state.told = rate
 		state.mu.Unlock()
 		if scaled := rate * rateScale; scaled >= 1 {
 			rates[state.hash] = uint16(min(scaled, 65535))
