Count only the told demand in a jump as well as near the limit

Change: a host whose demand is above 1.5 times what it told, and one request a second more, divides by what it told. The whole rate is divided again instead of 0.98 of it.

--- a/core/share/share.go
+++ b/core/share/share.go
@@ -45,26 +45,25 @@
 // demandKnown is the time after the start of a host from which it knows the demand of all hosts.
 const demandKnown = 3 * time.Second
 
-// pressedPart is the part of a limit that hosts divide while a team asks for more: until their reports have come, their
-// parts sum up to more than one.
-const pressedPart = 0.98
+// jump times the demand that was told, and jumpLeast requests per second more, is a jump.
+const (
+	jump      = 1.5
+	jumpLeast = 1.0
+)
 
 // Demand is what a host knows of a team's requests per second: its own, what it told the other hosts of that last, and the
 // sum of what they told.
 type Demand struct{ Own, Told, Others float64 }
 
 // OfAt returns this host's part of a limit age after its start. known is the number of hosts that may be running. Until
-// the reports of the others have come, every host would take itself for the only one. Near the limit only what was told
-// counts, so that the parts of all hosts do not exceed one together when the demand jumps.
+// the reports of the others have come, every host would take itself for the only one. Near the limit and in a jump only
+// what was told counts, so that the parts of all hosts do not exceed one together: the others' demand may have jumped too.
 func OfAt(age time.Duration, rate float64, d Demand, hosts, known int) float64 {
 	own := d.Own
-	if d.Own+d.Others >= calm*rate {
+	if d.Own+d.Others >= calm*rate || d.Own > jump*d.Told+jumpLeast {
 		own = min(own, d.Told)
 	}
 	part := Of(rate, own, d.Others, hosts)
-	if d.Own+d.Others > rate {
-		part *= pressedPart
-	}
 	if age < demandKnown {
 		return min(part, 1/float64(max(known, 1)))
 	}
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -197,7 +197,7 @@
 // and not yet to the others.
 func TestPartsSumToOneInAJump(t *testing.T) {
 	const hosts, limit, told = 9, 214.0, 15.0
-	for _, own := range []float64{told, 2 * told, 6 * told} {
+	for _, own := range []float64{limit / hosts, 2 * told, 6 * told} {
 		total := 0.0
 		for range hosts {
 			total += OfAt(time.Minute, limit, Demand{Own: own, Told: told, Others: (hosts - 1) * told}, hosts, hosts)
