--- a/io/events/writer.go
+++ b/io/events/writer.go
@@ -69,5 +69,16 @@
 	}
 }
 
+// Wait returns once Run has returned, or after a while when the reader has stopped: the end of a process does not wait for
+// its log.
+func (w *Writer) Wait() {
+	timer := time.NewTimer(2 * flushLimit)
+	defer timer.Stop()
+	select {
+	case <-w.done:
+	case <-timer.C:
+	}
+}
+
 // Done is closed when Run has returned.
 func (w *Writer) Done() <-chan struct{} { return w.done }
