--- a/host/entry/fleet.go
+++ b/host/entry/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -120,7 +119,10 @@
 		return
 	}
 	f.mu.Lock()
-	known := f.contacts[parsed] || slices.ContainsFunc(slices.Collect(maps.Values(f.peers)), func(p *peer) bool { return p.address == parsed })
+	known := f.contacts[parsed]
+	for _, p := range f.peers {
+		known = known || p.address == parsed
+	}
 	if !known {
 		f.contacts[parsed] = true
 	}
--- a/host/entry/host.go
+++ b/host/entry/host.go
@@ -118,8 +118,8 @@
 	drainNotice = 2500 * time.Millisecond
 	// drainMargin is the part of the grace that is left for the end of the process.
 	drainMargin = 500 * time.Millisecond
-	// expireEvery is how often servers whose entries vanished and hosts to follow are looked at.
-	expireEvery = 200 * time.Millisecond
+	// maintainEvery is the time between two looks of maintain.
+	maintainEvery = 200 * time.Millisecond
 )
 
 // New joins the parts of a host. Nothing listens before Run.
@@ -249,7 +249,7 @@
 	for i, server := range servers {
 		group.Go(func() error { return callers.Serve(server, listeners[i+1]) })
 	}
-	for _, run := range []func(context.Context) error{h.client.Run, h.fleet.node.Load().Run, h.fleet.run, h.runTrials, h.expire} {
+	for _, run := range []func(context.Context) error{h.client.Run, h.fleet.node.Load().Run, h.fleet.run, h.runTrials, h.maintain} {
 		group.Go(func() error { return run(parts) })
 	}
 	h.callers.Start(listeners[0])
@@ -298,9 +298,9 @@
 	}
 }
 
-// expire looks at the servers whose entries vanished, and at the hosts to follow, until ctx ends.
-func (h *Host) expire(ctx context.Context) error {
-	ticker := time.NewTicker(expireEvery)
+// maintain looks at the servers whose entries vanished, at the hosts to follow and at outdated views until ctx ends.
+func (h *Host) maintain(ctx context.Context) error {
+	ticker := time.NewTicker(maintainEvery)
 	defer ticker.Stop()
 	for {
 		select {
