--- a/io/events/writer_test.go
+++ b/io/events/writer_test.go
@@ -54,7 +54,7 @@
 
 // Guards against a process that does not end because nobody reads its log.
 func TestEndDoesNotWaitForTheLog(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
 		out := &stalled{release: make(chan struct{})}
 		w := NewWriter(out)
 		ctx, cancel := context.WithCancel(context.Background())
