Let a host that joins a running trial follow the others

Change: a host that joins after the proving goes on where the others are, and does not take a version back for want of evidence before it has heard them for 2 s.

--- a/core/rollout/trial.go
+++ b/core/rollout/trial.go
@@ -33,6 +33,8 @@
 	// giveUpAt is when a trial without enough evidence is taken back.
 	giveUpAt = 0.8
 
+	// reportsHeard is the time in which a host that joins hears the evidence of the others.
+	reportsHeard = 2 * time.Second
 	// minEvidence is the number of answers of the target below which it is not widened.
 	minEvidence = 12
 	// excludedFailures and excludedSlow are the sizes of fault that a trial has to exclude before it finishes.
@@ -65,14 +67,14 @@
 	Answers, all uint64
 	// recentNew and recentOld count the answers since the phase began.
 	recentNew, recentOld Counts
-	// widened is when the widening began.
-	widened time.Duration
-	Reason  string
+	// widened is when the widening began, joined when this host began to follow the trial.
+	widened, joined time.Duration
+	Reason          string
 }
 
 // NewTrial returns the trial of an order that was given elapsed ago.
 func NewTrial(now time.Duration, order Order, elapsed time.Duration) Trial {
-	t := Trial{Order: order, Phase: Proving, Started: now - elapsed, Judge: NewJudge(int(order.Within/BatchEvery), 1), Reason: "started"}
+	t := Trial{Order: order, Phase: Proving, Started: now - elapsed, joined: now, Judge: NewJudge(int(order.Within/BatchEvery), 1), Reason: "started"}
 	return t.WithRecorded(order.Recorded)
 }
 
@@ -139,11 +141,17 @@
 	ready := t.Answers >= minEvidence && !t.doubtful()
 	switch {
 	case part >= giveUpAt && t.Answers < minEvidence:
+		if now-t.joined < reportsHeard {
+			return t
+		}
 		return t.WithVerdict("too little traffic to judge the version in time")
-	case part >= giveUpAt && (t.Phase == Proving || t.doubtful()), part >= finishAt && t.unproved():
+	case part >= giveUpAt && (t.Phase == Proving && !t.late() || t.doubtful()), part >= finishAt && t.unproved():
 		return t.WithVerdict("too much fails to tell whether the version is good")
 	case part >= finishAt:
 		t.Phase, t.Reason = Finished, "no evidence against the version"
+	case t.Phase == Proving && t.late() && ready:
+		// The other hosts widened the version before this one joined.
+		t.Phase, t.Reason, t.widened = Widening, "joined a running trial", t.Started+time.Duration(provingEnd*float64(t.Order.Within))
 	case t.Phase == Proving && part >= provingEnd && part <= lastWidening && ready:
 		// A version may fail from a certain load on; what it did before would hide that.
 		t.Phase, t.Reason, t.widened, t.recentNew, t.recentOld = Widening, "no evidence against the version so far", now, Counts{}, Counts{}
@@ -151,6 +159,9 @@
 	return t
 }
 
+// late reports whether this host joined when the others had proved the version.
+func (t Trial) late() bool { return t.part(t.joined) > provingEnd }
+
 // unproved reports whether the answers of a route speak rather for a fault than against it.
 func (t Trial) unproved() bool {
 	for _, v := range t.Judge.routes {
--- a/core/rollout/trial_test.go
+++ b/core/rollout/trial_test.go
@@ -129,6 +129,27 @@
 	}
 }
 
+// Guards against a good version that is taken back by a host that was started again during the trial, and against one that
+// such a host keeps on trial while the others send everything to it.
+func TestHostJoinsARunningTrial(t *testing.T) {
+	const within = 14 * time.Second
+	order := Order{Service: "search", Target: "v2", Within: within}
+	good := Batch{"r": {Old: Counts{N: 200, Timed: 200}, New: map[uint8]Counts{1: {N: 60, Timed: 60}, 2: {N: 60, Timed: 60}}}}
+	for _, joins := range []time.Duration{7 * time.Second, 10 * time.Second, 11500 * time.Millisecond} {
+		trial := NewTrial(0, order, 0).WithElapsed(0, joins)
+		if early := trial.Next(0); early.Phase.Over() {
+			t.Errorf("joined after %s: %s before the others' evidence came", joins, early.Phase)
+		}
+		trial = trial.WithAnswers(good).WithBatch(good).Next(500 * time.Millisecond)
+		if trial.Phase != Widening {
+			t.Errorf("joined after %s: %s (%s)", joins, trial.Phase, trial.Reason)
+		}
+		if end := trial.Next(within - joins); end.Phase != Finished {
+			t.Errorf("joined after %s: ended as %s (%s)", joins, end.Phase, end.Reason)
+		}
+	}
+}
+
 // Guards against a bad version that fails only above the last step before all requests: nothing shows before the target
 // has them all, and the answers come too late.
 func TestTrialsOfVersionsBadAboveTheLastStep(t *testing.T) {
