--- a/core/watchers/watchers.go
+++ b/core/watchers/watchers.go
@@ -14,7 +14,7 @@
 type Store uint8
 
 // The states of the store, in the order in which hosts are chosen: one that watches already goes first, and one that the
-// store turned away goes last, even while it follows others.
+// store refuses goes last, even while it follows others.
 const (
 	Reached Store = iota
 	Unknown
@@ -27,8 +27,8 @@
 	Store Store
 }
 
-// Choose returns the names of the hosts that watch, in the order in which the others follow them. While the store turns
-// some hosts away, others take their place.
+// Choose returns the names of the hosts that watch, in the order in which the others follow them. While the store refuses
+// some hosts, others take their place.
 func Choose(hosts []Host) []string {
 	ordered := slices.Clone(hosts)
 	slices.SortFunc(ordered, func(a, b Host) int {
--- a/core/watchers/watchers_test.go
+++ b/core/watchers/watchers_test.go
@@ -7,7 +7,7 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against a region that watches through hosts that the store turns away while another one could, against none that
+// Guards against a region that watches through hosts that the store refuses while another one could watch, against none that
 // watches, and against hosts that disagree.
 func TestChoose(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/host/entry/fleet_test.go
+++ b/host/entry/fleet_test.go
@@ -163,9 +163,9 @@
 	}
 }
 
-// Guards against hosts that the store turns away and that follow each other, or are followed by others, so that the whole
+// Guards against hosts that the store refuses and that follow each other, or are followed by others, so that the whole
 // region keeps an old view.
-func TestNobodyFollowsAHostThatWasTurnedAway(t *testing.T) {
+func TestRefusedHostsAreNotFollowed(t *testing.T) {
 	h := newTestHost(t, newBackend(t, good))
 	h.settings.Regions = map[string]string{"north-a": "north"}
 	says := func(name string, store watchers.Store) {
@@ -179,16 +179,16 @@
 	if got := h.fleet.watchers(h.now()); len(got) != 0 {
 		t.Errorf("the first host that reaches the store follows %v", got)
 	}
-	h.SetStore(Configuration, errors.New("turned away"), true)
+	h.SetStore(Configuration, errors.New("refused"), true)
 	h.fleet.chooseWatchers(h.now())
 	if got := h.Follow(); !slices.Equal(got, []string{"10.0.0.2:7", "10.0.0.3:7"}) {
-		t.Errorf("a host that was turned away follows %v", got)
+		t.Errorf("a refused host follows %v", got)
 	}
 	if got := h.storeState(); got != watchers.Away {
 		t.Errorf("it states %d while it follows", got)
 	}
 	says("host-2", watchers.Away)
 	if got := h.fleet.watchers(h.now()); !slices.Equal(got, []string{"10.0.0.3:7", "10.0.0.4:7"}) {
-		t.Errorf("with another host turned away it follows %v", got)
+		t.Errorf("with another refused host it follows %v", got)
 	}
 }
--- a/host/entry/follow.go
+++ b/host/entry/follow.go
@@ -13,7 +13,7 @@
 	// watcherSilence is the time without a message after which a watcher is not followed. With the time of a read it stays
 	// below the time in which a change has to be in force.
 	watcherSilence = 1500 * time.Millisecond
-	// awayMemory is how long a host whom the store turned away leaves the watch to others.
+	// awayMemory is how long a host whom the store refuses leaves the watch to others.
 	awayMemory = 5 * time.Second
 	// fleetHeard is the time after the start within which the other hosts are heard.
 	fleetHeard = 1200 * time.Millisecond
@@ -24,7 +24,7 @@
 	mu sync.Mutex
 	// addresses are the peer addresses of the followed hosts; it is empty while this host watches the store.
 	addresses []string
-	// awayUntil is the time until which this host counts as turned away by the store.
+	// awayUntil is the time until which this host counts as refused by the store.
 	awayUntil time.Duration
 }
 
@@ -39,18 +39,18 @@
 // Settled receives once this host knows whether it watches the store. Before, each host would take itself for a watcher.
 func (h *Host) Settled() <-chan time.Time { return time.After(fleetHeard - h.now()) }
 
-// Turned receives when the hosts to follow have changed.
-func (h *Host) Turned(kind Kind) <-chan struct{} { return h.refresher.turned[kind] }
+// FollowChanged receives when the hosts to follow have changed.
+func (h *Host) FollowChanged(kind Kind) <-chan struct{} { return h.refresher.followChanged[kind] }
 
-// turnedAway notes that the store did not answer a call of this host. Later answers do not take that back at once: a store
-// that turns a host away answers some of its calls.
-func (f *following) turnedAway(now time.Duration) {
+// storeRefused notes that the store did not answer a call of this host. Later answers do not take that back at once: a store
+// that refuses a host answers some of its calls.
+func (f *following) storeRefused(now time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.awayUntil = now + awayMemory
 }
 
-// storeState is what this host says of the store. A host whom the store turned away says so for a while even when it follows
+// storeState is what this host says of the store. A host whom the store refuses says so for a while even when it follows
 // others, so that nobody follows it.
 func (h *Host) storeState() watchers.Store {
 	h.following.mu.Lock()
@@ -79,8 +79,8 @@
 		return
 	}
 	f.host.log.Emit(events.WatchersChanged, "follows", addresses)
-	for kind := range f.host.refresher.turned {
-		wake(f.host.refresher.turned[kind])
+	for kind := range f.host.refresher.followChanged {
+		wake(f.host.refresher.followChanged[kind])
 	}
 }
 
--- a/host/entry/refresh.go
+++ b/host/entry/refresh.go
@@ -55,14 +55,14 @@
 	read  [kindCount]time.Duration
 	// polling is set while this host's watches are short.
 	polling bool
-	// again wakes the reader of each kind to list the objects, turned to follow other hosts.
-	again, turned [kindCount]chan struct{}
+	// again wakes the reader of each kind to list the objects, followChanged to follow other hosts.
+	again, followChanged [kindCount]chan struct{}
 }
 
 func newRefresher() *refresher {
 	r := &refresher{}
 	for kind := range r.again {
-		r.again[kind], r.turned[kind] = make(chan struct{}, 1), make(chan struct{}, 1)
+		r.again[kind], r.followChanged[kind] = make(chan struct{}, 1), make(chan struct{}, 1)
 	}
 	return r
 }
--- a/host/entry/view.go
+++ b/host/entry/view.go
@@ -169,7 +169,7 @@
 // to the store itself, and not for those to a host that is followed.
 func (h *Host) SetStore(kind Kind, err error, direct bool) {
 	if err != nil && direct {
-		h.following.turnedAway(h.now())
+		h.following.storeRefused(h.now())
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
