--- a/host/entry/fleet.go
+++ b/host/entry/fleet.go
@@ -305,7 +305,7 @@
 		f.host.storeServesOthers()
 	}
 	f.host.hearTrials(now, m)
-	f.host.refresher.compare(now, m.Digests, m.Revisions)
+	f.host.refresher.compare(now, m.Host, m.Digests, m.Revisions)
 }
 
 // run sends messages until ctx ends.
--- a/host/entry/fleet_test.go
+++ b/host/entry/fleet_test.go
@@ -84,9 +84,9 @@
 	r.digests, r.revisions = Digests{Configuration: 5, BackendServers: 6, Rollouts: 8}, Revisions{Configuration: 20, BackendServers: 20, Rollouts: 30}
 	newer := func(now time.Duration) {
 		// The rollouts of this host are the newer ones.
-		r.compare(now, Digests{Configuration: 5, BackendServers: 7, Rollouts: 7}, Revisions{Configuration: 40, BackendServers: 21, Rollouts: 29})
+		r.compare(now, "host-2", Digests{Configuration: 5, BackendServers: 7, Rollouts: 7}, Revisions{Configuration: 40, BackendServers: 21, Rollouts: 29})
 	}
-	same := func(now time.Duration) { r.compare(now, r.digests, r.revisions) }
+	same := func(now time.Duration) { r.compare(now, "host-3", r.digests, r.revisions) }
 	const at = 10 * time.Second
 	newer(at)
 	same(at + differsFor/4)
--- a/host/entry/refresh.go
+++ b/host/entry/refresh.go
@@ -50,9 +50,10 @@
 	mu        sync.Mutex
 	digests   Digests
 	revisions Revisions
-	// older holds since when another host is known to have newer objects, 0 while none is.
-	older [kindCount]time.Duration
-	read  [kindCount]time.Duration
+	// older holds since when another host, newerAt, is known to have newer objects, 0 while none is.
+	older   [kindCount]time.Duration
+	newerAt [kindCount]string
+	read    [kindCount]time.Duration
 	// polling is set while this host's watches are short.
 	polling bool
 	// again wakes the reader of each kind to list the objects, followChanged to follow other hosts.
@@ -112,13 +113,13 @@
 }
 
 // compare takes in what another host knows.
-func (r *refresher) compare(now time.Duration, digests Digests, revisions Revisions) {
+func (r *refresher) compare(now time.Duration, host string, digests Digests, revisions Revisions) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for kind := range kindCount {
 		newer := digests[kind] != 0 && digests[kind] != r.digests[kind] && revisions[kind] > r.revisions[kind]
 		if newer && r.older[kind] == 0 {
-			r.older[kind] = now
+			r.older[kind], r.newerAt[kind] = now, host
 		}
 	}
 }
@@ -140,7 +141,10 @@
 // refresh reads again what is out of date.
 func (h *Host) refresh(now time.Duration) {
 	for _, kind := range h.refresher.due(now) {
-		h.log.Emit(events.ViewOutdated, "kind", kind.String())
+		h.refresher.mu.Lock()
+		newerAt := h.refresher.newerAt[kind]
+		h.refresher.mu.Unlock()
+		h.log.Emit(events.ViewOutdated, "kind", kind.String(), "newer-at", newerAt)
 	}
 }
 
--- a/io/events/catalogue.go
+++ b/io/events/catalogue.go
@@ -54,7 +54,7 @@
 	HostJoined         = Event{712, slog.LevelInfo, "host registered itself in the store", "Other hosts find it there."}
 	SettingsReloaded   = Event{713, slog.LevelInfo, "settings were read again", "Limits and the log level of the new file are in force; other changes need a restart."}
 	SettingsRefused    = Event{714, slog.LevelError, "changed settings were refused", "The error names the key and the accepted range; the settings in force stay."}
-	ViewOutdated       = Event{715, slog.LevelWarn, "view of the store is out of date", "A host that reads the store often knows other objects, so that a watch has gone deaf. The objects are read again."}
+	ViewOutdated       = Event{715, slog.LevelWarn, "view of the store is out of date", "Another host that watches the store knows newer objects, since a watch has gone deaf or a followed host is cut off. The objects are read again."}
 	PollerChanged      = Event{716, slog.LevelInfo, "host began or ceased to read the store often", "Two hosts read the store often and the others compare with them."}
 	WatchersChanged    = Event{717, slog.LevelInfo, "host follows other hosts", "The hosts from which this host takes the store's objects; none means that it watches the store itself."}
 	PlatformFailed     = Event{701, slog.LevelWarn, "platform list could not be read", "The last list stays in use."}
