Count the part of a rate that leaving hosts still use; start with numbers of every form

Cause: a leaving host was left out of the sum of demands at once, while it admits requests on its open connections for 1.2 s and more; the others divided its part among themselves. Ruled out: the tokens of a started host (its part stays small until it told its demand). Settings: the template wrote '.0' behind every slack, so that a fraction kept hosts from starting; memory-bytes takes a fraction now.

--- a/core/share/share.go
+++ b/core/share/share.go
@@ -22,8 +22,11 @@
 }
 
 // At returns the rate at a later time.
-func (r Rate) At(now time.Duration) float64 {
-	return r.perSecond * math.Exp(-float64(now-r.at)/float64(memory))
+func (r Rate) At(now time.Duration) float64 { return Faded(r.perSecond, now-r.at) }
+
+// Faded returns what a rate per second has become after age without an event.
+func Faded(perSecond float64, age time.Duration) float64 {
+	return perSecond * math.Exp(-float64(age)/float64(memory))
 }
 
 const (
--- a/host/entry/fleet.go
+++ b/host/entry/fleet.go
@@ -11,6 +11,7 @@
 
 	"vanillatally/core/placement"
 	"vanillatally/core/rollout"
+	"vanillatally/core/share"
 	"vanillatally/core/watchers"
 	"vanillatally/io/datagrams"
 	"vanillatally/io/events"
@@ -169,16 +170,23 @@
 	return silentAfter + time.Duration(f.farEvery()-1)*farSilence
 }
 
-// demand sums up what the other hosts see of a team's demand, in requests per second.
+// demand sums up what the other hosts see of a team's demand, in requests per second. A leaving host still admits the
+// requests on its open connections; once it falls silent its last statement fades as its demand would.
 func (f *fleet) demand(now time.Duration, team uint32) (perSecond float64, hosts int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	hosts = 1
 	for _, p := range f.peers {
-		if f.alive(p, now) {
-			hosts++
-			perSecond += float64(p.Demand[team]) / rateScale
+		silent := now - p.heardAt
+		if silent >= f.silence(p) {
+			continue
+		}
+		stated := float64(p.Demand[team]) / rateScale
+		if p.State == Leaving && silent > tick {
+			stated = share.Faded(stated, silent-tick)
 		}
+		hosts++
+		perSecond += stated
 	}
 	return perSecond, hosts
 }
--- a/host/entry/fleet_test.go
+++ b/host/entry/fleet_test.go
@@ -77,6 +77,25 @@
 	expect("silent", "north")
 }
 
+// Guards against a team that exceeds its rate in a rolling restart: a leaving host admits requests on its open connections
+// until it ends, while the others would divide its part among themselves.
+func TestLeavingHostKeepsItsPartOfARate(t *testing.T) {
+	h := newTestHost(t, newBackend(t, good))
+	state := func(name string, state State) {
+		h.fleet.receive(netip.MustParseAddrPort("10.0.0.9:7000"), Message{
+			Host: name, Started: 1, State: state, FailureDomain: "north-a", Demand: map[uint32]uint16{7: 10 * rateScale},
+		})
+	}
+	state("host-2", Ready)
+	state("host-3", Leaving)
+	if got, hosts := h.fleet.demand(h.now(), 7); got != 20 || hosts != 3 {
+		t.Errorf("demand of %.1f/s at %d hosts while one leaves, want 20/s at 3", got, hosts)
+	}
+	if got, _ := h.fleet.demand(h.now()+2*time.Second, 7); got <= 10 || got >= 16 {
+		t.Errorf("demand of %.1f/s 2 s after the last message, want the leaving host's to fade", got)
+	}
+}
+
 // Guards against a view that stays old because a watch has gone deaf, while one host knows newer objects and another one
 // the same old ones, and against hosts that read the store without need.
 func TestOutdatedViewIsReadAgain(t *testing.T) {
--- a/io/settings/entry.go
+++ b/io/settings/entry.go
@@ -26,8 +26,8 @@
 	Seeds []string `toml:"seeds"`
 	// Regions maps each failure domain to its region.
 	Regions map[string]string `toml:"regions"`
-	// MemoryBytes is the memory that the process may use.
-	MemoryBytes int64       `toml:"memory-bytes"`
+	// MemoryBytes is the memory that the process may use. A fraction is accepted, since a platform may state megabytes.
+	MemoryBytes float64     `toml:"memory-bytes"`
 	Limits      EntryLimits `toml:"limits"`
 }
 
@@ -81,7 +81,7 @@
 		}
 		return s.LogLevel, true
 	}},
-	number("memory-bytes", 16<<20, 1<<40, func(s Entry) int64 { return s.MemoryBytes }),
+	number("memory-bytes", 16<<20, 1<<40, func(s Entry) int64 { return int64(s.MemoryBytes) }),
 	duration("limits.lookup-ttl", 100*time.Millisecond, time.Minute, func(s Entry) Duration { return s.Limits.LookupTTL }),
 	duration("limits.grace", time.Second, 10*time.Minute, func(s Entry) Duration { return s.Limits.Grace }),
 	share("limits.retry-share", func(s Entry) float64 { return s.Limits.RetryShare }),
