--- /dev/null
+++ b/core/delegates/delegates.go
@@ -0,0 +1,59 @@
+// Package delegates decides which hosts speak for a failure domain, so that what hosts tell each other grows with the number
+// of failure domains and not with the square of the fleet.
+package delegates
+
+import (
+	"cmp"
+	"slices"
+
+	"vanillatally/core/watchers"
+)
+
+// Count is the number of hosts that speak for a failure domain. With two, the domain stays heard while one dies.
+const Count = 2
+
+// Listed is the number of hosts of a failure domain that the other domains know by name.
+const Listed = 6
+
+// Host is a host of a failure domain that was heard from lately, or this host itself.
+type Host struct {
+	Name string
+	// Ready hosts take requests.
+	Ready bool
+	Store watchers.Store
+}
+
+// Choose returns the names of the hosts that speak for the domain, the one that is believed first.
+func Choose(hosts []Host) []string {
+	names := make([]string, 0, len(hosts))
+	for _, h := range hosts {
+		names = append(names, h.Name)
+	}
+	slices.Sort(names)
+	return names[:min(len(names), Count)]
+}
+
+// List returns the names of the hosts that the other domains have to know: those that speak for the domain, then those that
+// watch the store, then those that take requests.
+func List(hosts []Host) []string {
+	first := Choose(hosts)
+	rest := slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool { return slices.Contains(first, h.Name) })
+	slices.SortFunc(rest, func(a, b Host) int { return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Name, b.Name)) })
+	for _, h := range rest[:min(len(rest), Listed-len(first))] {
+		first = append(first, h.Name)
+	}
+	return first
+}
+
+// rank orders the hosts that are listed behind the delegates.
+func rank(h Host) int {
+	switch {
+	case h.Store == watchers.Reached:
+		return 0
+	case h.Ready && h.Store != watchers.Away:
+		return 1
+	case h.Ready:
+		return 2
+	}
+	return 3
+}
--- a/host/entry/fleet.go
+++ b/host/entry/fleet.go
@@ -10,15 +10,13 @@
 	"time"
 
 	"vanillatally/core/placement"
-	"vanillatally/core/rollout"
-	"vanillatally/core/share"
 	"vanillatally/core/watchers"
 	"vanillatally/io/datagrams"
 	"vanillatally/io/events"
 )
 
 const (
-	// tick is the time between two messages to each other host; tickJitter is the random part of it.
+	// tick is the time between two messages to each other host of the failure domain; tickJitter is the random part of it.
 	tick       = 600 * time.Millisecond
 	tickJitter = 100 * time.Millisecond
 	// fastTick replaces tick while a version is being widened.
@@ -31,260 +29,107 @@
 	fleetKnown = 3 * time.Second
 	// silentEvery is how many ticks pass between two messages to a host that is silent.
 	silentEvery = 4
-	// farHosts is the number of hosts for each tick between two messages to a host of another region, and maxFarEvery bounds
-	// these ticks: links between regions carry few of the messages of a large fleet.
-	farHosts    = 20
-	maxFarEvery = 3
-	// farSilence is added to silentAfter for each of these ticks beyond the first.
-	farSilence = 1500 * time.Millisecond
-	// rateScale turns rates per second into the integers of messages.
-	rateScale = 8
-	// maxCrashes, maxDemands and maxTrials bound a message.
-	maxCrashes = 8
-	maxDemands = 64
-	maxTrials  = 4
 )
 
-// State says how far a host is in its life.
-type State uint8
-
-// The states of a host.
-const (
-	Starting State = iota
-	Ready
-	Leaving
-)
-
-// Message is what hosts tell each other. It must fit datagrams.MaxBytes.
-type Message struct {
-	_    struct{} `cbor:",toarray"`
-	Host string
-	// Started is the Unix time of the host's start in milliseconds; messages of an earlier process are ignored.
-	Started       int64
-	State         State
-	Caller        string
-	FailureDomain string
-	Sequence      uint64
-	// Demand holds the smoothed requests per second of teams, times rateScale, by the hash of the team's name.
-	Demand  map[uint32]uint16
-	Crashes []Crash
-	Trials  []TrialReport
-	Store   watchers.Store
-	// Digests and Revisions are stated by hosts that watch the store.
-	Digests   Digests
-	Revisions Revisions
+// sender sends packets to other hosts.
+type sender interface {
+	Send(packet Packet, addresses []netip.AddrPort) error
 }
 
-// TrialReport is what a host saw of a running rollout.
-type TrialReport struct {
-	_        struct{} `cbor:",toarray"`
-	Service  string
-	Revision uint64
-	// ElapsedMS is the time since the order as the host knows it.
-	ElapsedMS int64
-	// Bad is set once the host found the version bad.
-	Bad bool
-	// Counts holds all evidence since the host first saw the order, so that a lost message loses nothing.
-	Counts rollout.Batch
-}
-
-// peer is another host.
+// peer is another host that was heard from directly.
 type peer struct {
 	Message
 	address netip.AddrPort
 	region  string
 	heardAt time.Duration
+	// rates holds the demand of a host with many teams.
+	rates rates
 }
 
-// fleet knows the other hosts, at most as many as the store lists.
+// fleet knows the other hosts: each of its own failure domain, at most as many as the store lists, and of the other domains
+// what their delegates tell.
 type fleet struct {
 	host *Host
 	// node is set once the host listens.
-	node atomic.Pointer[datagrams.Node[Message]]
+	node atomic.Pointer[datagrams.Node[Packet]]
+	// sender is the node but for tests.
+	sender func() sender
 	// port is the peer port of every host.
 	port uint16
 
 	mu    sync.Mutex
 	peers map[string]*peer
-	// contacts are addresses of hosts that were not heard from.
-	contacts map[netip.AddrPort]bool
+	// domains holds the other failure domains by name.
+	domains map[string]*domain
+	// elsewhere holds the rates of all other domains as the delegates of the own one state them, by host.
+	elsewhere map[string]*rates
+	// contacts are addresses of hosts that were not heard from, with their failure domain if it is known.
+	contacts map[netip.AddrPort]string
 	ticks    int
+	// number is that of the last summary.
+	number uint64
 }
 
-func shortHash(name string) uint32 { return uint32(placement.Hash(name)) }
-
-// contact adds the address of a host that may be running.
-func (f *fleet) contact(address string) {
-	parsed, err := netip.ParseAddrPort(address)
-	if err != nil || parsed.String() == f.host.settings.PeerAddress {
-		return
-	}
-	f.mu.Lock()
-	known := f.contacts[parsed]
-	for _, p := range f.peers {
-		known = known || p.address == parsed
-	}
-	if !known {
-		f.contacts[parsed] = true
-	}
-	f.mu.Unlock()
-	if !known {
-		f.sendTo([]netip.AddrPort{parsed})
+func newFleet(h *Host) *fleet {
+	f := &fleet{
+		host: h, peers: map[string]*peer{}, domains: map[string]*domain{}, elsewhere: map[string]*rates{}, contacts: map[netip.AddrPort]string{},
 	}
-}
-
-// hosts returns the number of hosts that were heard from lately, this one included.
-func (f *fleet) hosts() int {
-	now := f.host.now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n := 1
-	for _, p := range f.peers {
-		if f.alive(p, now) {
-			n++
+	f.sender = func() sender {
+		if node := f.node.Load(); node != nil {
+			return node
 		}
+		return nil
 	}
-	return n
-}
-
-// known returns the number of hosts that may be running: those heard from and those that were not yet.
-func (f *fleet) known() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return 1 + len(f.peers) + len(f.contacts)
+	return f
 }
 
-// alive reports whether the host was heard from lately and does not leave. The caller holds f.mu.
-func (f *fleet) alive(p *peer, now time.Duration) bool {
-	return now-p.heardAt < f.silence(p) && p.State != Leaving
-}
-
-// farEvery is the number of ticks between two messages to a host of another region. The caller holds f.mu.
-func (f *fleet) farEvery() int { return min(max(1, len(f.peers)/farHosts), maxFarEvery) }
+func shortHash(name string) uint32 { return uint32(placement.Hash(name)) }
 
-// silence is the time without a message after which the host is left out. The caller holds f.mu.
-func (f *fleet) silence(p *peer) time.Duration {
-	if p.region == f.host.settings.Region {
-		return silentAfter
+// contact adds the address of a host that may be running; failureDomain is empty when it is not known. Hosts of other
+// failure domains are left to the delegates.
+func (f *fleet) contact(address, failureDomain string) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err == nil {
+		f.contactAt(parsed, failureDomain)
 	}
-	return silentAfter + time.Duration(f.farEvery()-1)*farSilence
 }
 
-// demand sums up what the other hosts see of a team's demand, in requests per second. A leaving host still admits the
-// requests on its open connections; once it falls silent its last statement fades as its demand would.
-func (f *fleet) demand(now time.Duration, team uint32) (perSecond float64, hosts int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	hosts = 1
-	for _, p := range f.peers {
-		silent := now - p.heardAt
-		if silent >= f.silence(p) {
-			continue
-		}
-		stated := float64(p.Demand[team]) / rateScale
-		if p.State == Leaving && silent > tick {
-			stated = share.Faded(stated, silent-tick)
-		}
-		hosts++
-		perSecond += stated
+func (f *fleet) contactAt(address netip.AddrPort, failureDomain string) {
+	own := f.host.settings
+	if address.String() == own.PeerAddress {
+		return
 	}
-	return perSecond, hosts
-}
-
-// owner reports whether this host is the one of its region's hosts, or of all hosts when the region has none, that
-// alone may send to a server.
-func (f *fleet) owner(s *server) bool {
-	now := f.host.now()
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	if now < fleetKnown && len(f.contacts) > 0 {
-		// Another host may be the owner, which this one has not heard yet.
-		return false
-	}
-	self := f.host.settings
-	best, bestWeight, bestNear := self.Host, placement.Affinity(s.hash, placement.Hash(self.Host)), self.Region == s.Region
-	for name, p := range f.peers {
-		if !f.alive(p, now) || p.State != Ready {
-			continue
-		}
-		near, weight := p.region == s.Region, placement.Affinity(s.hash, placement.Hash(name))
-		if near && !bestNear || near == bestNear && weight > bestWeight {
-			best, bestWeight, bestNear = name, weight, near
-		}
+	_, known := f.contacts[address]
+	for _, p := range f.peers {
+		known = known || p.address == address
 	}
-	return best == self.Host
-}
-
-// leader reports whether this host has the lowest name of those that are ready.
-func (f *fleet) leader() bool {
-	now := f.host.now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for name, p := range f.peers {
-		if f.alive(p, now) && p.State == Ready && name < f.host.settings.Host {
-			return false
-		}
+	if !known {
+		f.contacts[address] = failureDomain
 	}
-	return true
-}
-
-// StorePeers returns the peer addresses of the hosts that reach the store, those of this host's region first.
-func (h *Host) StorePeers() []string {
-	now := h.now()
-	var near, far []string
-	h.fleet.mu.Lock()
-	defer h.fleet.mu.Unlock()
-	for _, p := range h.fleet.peers {
-		switch {
-		case !h.fleet.alive(p, now) || p.Store != watchers.Reached:
-		case p.region == h.settings.Region:
-			near = append(near, p.address.String())
-		default:
-			far = append(far, p.address.String())
-		}
+	alone := len(f.peers)+len(f.domains) == 0
+	f.mu.Unlock()
+	if !known && (failureDomain == "" || failureDomain == own.FailureDomain || alone) {
+		f.sendMessage([]netip.AddrPort{address})
 	}
-	return append(near, far...)
 }
 
-// domainHosts is the number of ready hosts of a failure domain from which its callers are sent to them alone.
-const domainHosts = 3
-
-// find returns the caller addresses of the ready hosts of a failure domain; when it has few, those of its region, and when
-// that has none, of all. It returns at most as many as the settings allow.
-func (f *fleet) find(region, failureDomain string) []string {
-	now := f.host.now()
-	var domain, near, all []string
-	add := func(inRegion, inDomain, address string) {
-		all = append(all, address)
-		if inRegion == region {
-			near = append(near, address)
-		}
-		if inDomain == failureDomain {
-			domain = append(domain, address)
-		}
-	}
-	if f.host.ready() {
-		add(f.host.settings.Region, f.host.settings.FailureDomain, f.host.settings.CallerAddress)
-	}
-	f.mu.Lock()
-	for _, p := range f.peers {
-		if f.alive(p, now) && p.State == Ready {
-			add(p.region, p.FailureDomain, p.Caller)
-		}
+// receive takes in a packet of another host.
+func (f *fleet) receive(from netip.AddrPort, packet Packet) {
+	switch {
+	case packet.Host != nil:
+		f.hear(from, *packet.Host)
+	case packet.Summary != nil:
+		f.hearSummary(from, packet)
+	case packet.Rates != nil:
+		f.hearRates(packet)
+	case packet.Trial != nil:
+		f.hearTrial(packet)
 	}
-	f.mu.Unlock()
-	found := all
-	if len(domain) >= domainHosts {
-		found = domain
-	} else if len(near) > 0 {
-		found = near
-	}
-	slices.Sort(found)
-	return found[:min(len(found), int(f.host.limits.Load().LookupHosts))]
 }
 
-// receive takes in a message of another host.
-func (f *fleet) receive(from netip.AddrPort, m Message) {
+// hear takes in a message of another host.
+func (f *fleet) hear(from netip.AddrPort, m Message) {
 	if m.Host == "" || m.Host == f.host.settings.Host {
 		return
 	}
@@ -299,23 +144,65 @@
 	if known == nil || known.Started != m.Started || known.State != m.State {
 		f.host.log.Emit(events.PeerHeard, "peer", m.Host, "state", m.State, "failure-domain", m.FailureDomain, "caller-address", m.Caller)
 	}
-	f.peers[m.Host] = &peer{Message: m, address: address, region: f.host.settings.Regions[m.FailureDomain], heardAt: now}
+	heard := &peer{Message: m, address: address, region: f.host.settings.Regions[m.FailureDomain], heardAt: now}
+	if known != nil && known.Started == m.Started && len(m.Demand) == 0 && now-known.rates.heardAt < silentAfter {
+		heard.rates = known.rates
+	}
+	f.peers[m.Host] = heard
 	delete(f.contacts, address)
 	f.mu.Unlock()
-	if known == nil {
-		// A host that starts has to know soon who runs.
-		f.sendTo([]netip.AddrPort{address})
+	if known == nil || known.Started != m.Started {
+		f.answerGreeting(address, m.FailureDomain)
 	}
-	for _, crash := range m.Crashes {
-		f.host.suspects.heard(now, crash)
+	for _, contact := range m.Contacts {
+		f.contactAt(contact, f.host.settings.FailureDomain)
 	}
+	f.takeCrashes(now, m.Crashes)
 	if m.Store == watchers.Reached {
 		f.host.storeServesOthers()
 	}
-	f.host.hearTrials(now, m)
 	f.host.refresher.compare(now, m.Host, m.Digests, m.Revisions)
 }
 
+// answerGreeting tells a host that starts who runs: this host, hosts of its failure domain, and the domains that are known.
+func (f *fleet) answerGreeting(address netip.AddrPort, failureDomain string) {
+	m := f.message(nil)
+	now := f.host.now()
+	f.mu.Lock()
+	m.Contacts = f.contactsOf(failureDomain, now)
+	known := f.summaries(now, failureDomain)
+	f.mu.Unlock()
+	f.sendTo(Packet{Host: &m}, []netip.AddrPort{address})
+	if failureDomain == f.host.settings.FailureDomain && f.speaks(now) {
+		for _, packet := range known {
+			f.sendTo(packet, []netip.AddrPort{address})
+		}
+	}
+}
+
+// contactsOf returns peer addresses of hosts of a failure domain. The caller holds f.mu.
+func (f *fleet) contactsOf(failureDomain string, now time.Duration) (addresses []netip.AddrPort) {
+	for _, p := range f.peers {
+		if p.FailureDomain == failureDomain && now-p.heardAt < forgetAfter/4 {
+			addresses = append(addresses, p.address)
+		}
+	}
+	if d := f.domains[failureDomain]; d != nil {
+		if s := d.speaker(now, f.domainSilence(failureDomain)); s != nil {
+			for _, listed := range s.Listed {
+				addresses = append(addresses, listed.Peer)
+			}
+		}
+	}
+	slices.SortFunc(addresses, netip.AddrPort.Compare)
+	addresses = slices.Compact(addresses)
+	if len(addresses) > maxContacts {
+		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+		addresses = addresses[:maxContacts]
+	}
+	return addresses
+}
+
 // run sends messages until ctx ends.
 func (f *fleet) run(ctx context.Context) error {
 	timer := time.NewTimer(0)
@@ -336,16 +223,40 @@
 	}
 }
 
-// send sends one message to each host that is known.
-func (f *fleet) send() { f.sendTo(f.addresses(f.host.now())) }
+// send tells the hosts of the own failure domain of this host, and the other domains of the own one.
+func (f *fleet) send() {
+	crashes := f.host.suspects.news()
+	now := f.host.now()
+	m := f.message(crashes)
+	addresses := f.addresses(now)
+	if f.speaks(now) {
+		f.mu.Lock()
+		m.Contacts = f.contactsOf(f.host.settings.FailureDomain, now)
+		f.mu.Unlock()
+	}
+	packets := append([]Packet{{Host: &m}}, f.trialNews()...)
+	if len(m.Demand) == 0 {
+		packets = append(packets, f.manyRates()...)
+	}
+	for _, packet := range packets {
+		f.sendTo(packet, addresses)
+	}
+	f.speak(now, crashes)
+}
 
-// sendTo sends one message to the addresses; before the host listens, or without an address, it does nothing.
-func (f *fleet) sendTo(addresses []netip.AddrPort) {
-	node := f.node.Load()
+// sendMessage sends this host's message to the addresses.
+func (f *fleet) sendMessage(addresses []netip.AddrPort) {
+	m := f.message(nil)
+	f.sendTo(Packet{Host: &m}, addresses)
+}
+
+// sendTo sends a packet to the addresses; before the host listens, or without an address, it does nothing.
+func (f *fleet) sendTo(packet Packet, addresses []netip.AddrPort) {
+	node := f.sender()
 	if len(addresses) == 0 || node == nil {
 		return
 	}
-	if err := node.Send(f.message(), addresses); err != nil {
+	if err := node.Send(packet, addresses); err != nil {
 		f.host.log.Emit(events.PeerNotTold, "error", err)
 	}
 }
@@ -361,31 +272,32 @@
 			continue
 		}
 		every := 1
-		if now-p.heardAt >= f.silence(p) {
+		if now-p.heardAt >= silentAfter {
 			every = silentEvery
-		} else if p.region != f.host.settings.Region {
-			every = f.farEvery()
 		}
-		if (f.ticks+int(shortHash(name)))%every == 0 {
+		if p.FailureDomain == f.host.settings.FailureDomain && (f.ticks+int(shortHash(name)))%every == 0 {
 			addresses = append(addresses, p.address)
 		}
 	}
 	if f.ticks%silentEvery == 1 {
-		for address := range f.contacts {
-			addresses = append(addresses, address)
+		for address, failureDomain := range f.contacts {
+			if failureDomain == "" || failureDomain == f.host.settings.FailureDomain {
+				addresses = append(addresses, address)
+			}
 		}
 	}
 	return addresses
 }
 
-func (f *fleet) message() Message {
+// message is what this host tells others; crashes are those that they have to hear of.
+func (f *fleet) message(crashes []Crash) Message {
 	h := f.host
 	m := Message{
 		Host: h.settings.Host, Started: h.start.UnixMilli(), Caller: h.settings.CallerAddress,
-		FailureDomain: h.settings.FailureDomain, Demand: h.teams.demands(h.now()), Crashes: h.suspects.news(), Trials: h.trialReports(),
+		FailureDomain: h.settings.FailureDomain, Demand: h.teams.demands(h.now()), Crashes: crashes,
 	}
 	if len(m.Demand) > maxDemands {
-		m.Demand = largest(m.Demand, maxDemands)
+		m.Demand = nil
 	}
 	if current := h.view.Load().configuration; current != nil {
 		m.Sequence = current.Sequence
@@ -396,28 +308,49 @@
 		m.Digests, m.Revisions = h.refresher.digests, h.refresher.revisions
 		h.refresher.mu.Unlock()
 	}
+	m.State = h.state()
+	return m
+}
+
+// state is how far this host is in its life.
+func (h *Host) state() State {
 	switch {
 	case h.draining.Load():
-		m.State = Leaving
+		return Leaving
 	case h.ready():
-		m.State = Ready
+		return Ready
 	}
-	return m
+	return Starting
 }
 
-// largest returns the n largest demands.
-func largest(demand map[uint32]uint16, n int) map[uint32]uint16 {
-	rates := make([]uint16, 0, len(demand))
-	for _, rate := range demand {
-		rates = append(rates, rate)
-	}
-	slices.Sort(rates)
-	least := rates[len(rates)-n]
-	kept := make(map[uint32]uint16, n)
-	for team, rate := range demand {
-		if rate >= least && len(kept) < n {
-			kept[team] = rate
+// takeCrashes takes in crashes that other hosts saw, and passes on those that are new when this host speaks for its domain.
+func (f *fleet) takeCrashes(now time.Duration, crashes []Crash) {
+	for _, crash := range crashes {
+		if f.host.suspects.heard(now, crash) && f.speaks(now) {
+			f.host.suspects.passOn(crash)
 		}
 	}
-	return kept
+}
+
+// manyRates is the demand that this host told last when it is that of more teams than a message holds.
+func (f *fleet) manyRates() []Packet {
+	told := f.host.teams.told()
+	if len(told) <= maxDemands {
+		return nil
+	}
+	demand := make(map[uint32]uint32, len(told))
+	for team, rate := range told {
+		demand[team] = uint32(rate)
+	}
+	f.mu.Lock()
+	f.number++
+	origin := f.origin()
+	f.mu.Unlock()
+	return ratePackets(origin, ofHost, demand)
+}
+
+// origin names this host as the origin of the next message. The caller holds f.mu.
+func (f *fleet) origin() Origin {
+	own := f.host.settings
+	return Origin{FailureDomain: own.FailureDomain, Host: own.Host, Started: f.host.start.UnixMilli(), Number: f.number}
 }
--- a/host/entry/follow.go
+++ b/host/entry/follow.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
 
+	"vanillatally/core/delegates"
 	"vanillatally/core/watchers"
 	"vanillatally/io/events"
 )
@@ -17,6 +19,12 @@
 	awayMemory = 5 * time.Second
 	// fleetHeard is the time after the start within which the other hosts are heard.
 	fleetHeard = 1200 * time.Millisecond
+	// greetingAnswered is the time after the start within which a seed that runs has answered, also from another region.
+	greetingAnswered = 250 * time.Millisecond
+	// beginEvery is the time between two looks at whether this host may begin to read.
+	beginEvery = 20 * time.Millisecond
+	// firstAnswer is how long a host waits at its start for the objects of the hosts that it follows.
+	firstAnswer = time.Second
 )
 
 // following holds which hosts this host follows in place of the store.
@@ -36,6 +44,53 @@
 	return h.following.addresses
 }
 
+// Begin waits until this host knows whether to read from the store or from a host that follows it. In a fleet that runs, hosts
+// that start cost the store no calls. FollowUntil is the time until which the hosts of Follow may have nothing yet.
+func (h *Host) Begin(ctx context.Context) (followUntil time.Time) {
+	limit := greetingAnswered
+	if h.settings.FirstStart {
+		limit = fleetHeard
+	}
+	ticker := time.NewTicker(beginEvery)
+	defer ticker.Stop()
+	for {
+		now := h.now()
+		switch {
+		case h.fleet.storeReachedNear(now), h.settings.FirstStart && now >= limit:
+			h.fleet.chooseWatchers(now)
+			return time.Now().Add(firstAnswer)
+		case now >= limit:
+			return time.Now()
+		}
+		select {
+		case <-ctx.Done():
+			return time.Now()
+		case <-ticker.C:
+		}
+	}
+}
+
+// storeReachedNear reports whether a host of this host's region watches the store.
+func (f *fleet) storeReachedNear(now time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.members(now), func(m member) bool {
+		return m.Store == watchers.Reached && m.region == f.host.settings.Region
+	})
+}
+
+// Registers reports whether this host has to be found through the store: it speaks for its failure domain.
+func (h *Host) Registers() bool { return h.now() >= fleetHeard && h.fleet.speaks(h.now()) }
+
+// Alone reports whether this host heard no other one in the time in which a seed answers.
+func (h *Host) Alone() bool {
+	limit := greetingAnswered
+	if h.settings.FirstStart {
+		limit = fleetHeard
+	}
+	return h.now() >= limit && h.fleet.hosts() == 1
+}
+
 // Settled receives once this host knows whether it watches the store. Before, each host would take itself for a watcher.
 func (h *Host) Settled() <-chan time.Time { return time.After(fleetHeard - h.now()) }
 
@@ -90,10 +145,15 @@
 	hosts := []watchers.Host{{Name: own.Host, Store: f.host.storeState()}}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for name, p := range f.peers {
-		if p.region == own.Region && p.State != Leaving && now-p.heardAt < watcherSilence {
-			hosts = append(hosts, watchers.Host{Name: name, Store: p.Store})
+	peers := map[string]string{}
+	listed := delegates.List(f.ownHosts(now))
+	for _, m := range f.members(now) {
+		if m.region != own.Region || m.failureDomain == own.FailureDomain && !slices.Contains(listed, m.Host) {
+			// A host that is not listed is not known to the other domains of the region.
+			continue
 		}
+		hosts = append(hosts, watchers.Host{Name: m.Host, Store: m.Store})
+		peers[m.Host] = m.Peer.String()
 	}
 	chosen := watchers.Choose(hosts)
 	if slices.Contains(chosen, own.Host) {
@@ -101,7 +161,7 @@
 	}
 	addresses := make([]string, len(chosen))
 	for i, name := range chosen {
-		addresses[i] = f.peers[name].address.String()
+		addresses[i] = peers[name]
 	}
 	return addresses
 }
--- a/host/entry/host.go
+++ b/host/entry/host.go
@@ -142,7 +142,7 @@
 	h.parts.credits = map[partKey]float64{}
 	h.distances = distances{own: o.Settings.Region, all: map[string]time.Duration{}}
 	h.suspects = suspects{broken: map[uint32][]brokenRequest{}, crashes: map[uint64]map[uint32]time.Duration{}, tell: map[Crash]int{}}
-	h.fleet = &fleet{host: h, peers: map[string]*peer{}, contacts: map[netip.AddrPort]bool{}}
+	h.fleet = newFleet(h)
 	h.probes.SetLimit(maxProbes)
 	h.view.Store(&view{services: map[string][]*server{}, rollouts: map[string]*trial{}})
 	h.client = backends.New(backends.Options{
@@ -221,8 +221,8 @@
 	h.log.Emit(events.SettingsReloaded)
 }
 
-// Contact adds the address of a host that may be running.
-func (h *Host) Contact(address string) { h.fleet.contact(address) }
+// Contact adds the address of a host that may be running; failureDomain is empty when it is not known.
+func (h *Host) Contact(address, failureDomain string) { h.fleet.contact(address, failureDomain) }
 
 // Run listens and serves until ctx ends, then finishes the requests in flight.
 func (h *Host) Run(ctx context.Context) (err error) {
@@ -294,7 +294,7 @@
 // contactSeed adds the address of a host of the settings.
 func (h *Host) contactSeed(seed string) {
 	if address, err := netip.ParseAddrPort(seed); err == nil {
-		h.fleet.contact(netip.AddrPortFrom(address.Addr(), h.fleet.port).String())
+		h.fleet.contactAt(netip.AddrPortFrom(address.Addr(), h.fleet.port), "")
 	}
 }
 
--- a/host/entry/refresh.go
+++ b/host/entry/refresh.go
@@ -157,9 +157,9 @@
 	if f.host.storeState() == watchers.Reached {
 		names := []string{f.host.settings.Host}
 		f.mu.Lock()
-		for name, p := range f.peers {
-			if f.alive(p, now) && p.Store == watchers.Reached {
-				names = append(names, name)
+		for _, m := range f.members(now) {
+			if m.Store == watchers.Reached {
+				names = append(names, m.Host)
 			}
 		}
 		f.mu.Unlock()
--- a/host/entry/rollouts.go
+++ b/host/entry/rollouts.go
@@ -31,13 +31,47 @@
 	batch   rollout.Batch
 	batchAt time.Duration
 	// reports holds the newest evidence of each other host.
-	reports map[string]rollout.Batch
+	reports map[string]*hostReport
 	// recordAt is when the phase may be written again; only judge uses it.
 	recordAt time.Duration
 	// credit is the part of a request that the target is owed.
 	credit float64
 }
 
+// hostReport is the newest evidence of another host.
+type hostReport struct {
+	started int64
+	counts  rollout.Batch
+	bad     bool
+}
+
+// take takes in a report and reports whether it says more than those before, of the same process or an earlier one.
+func (r *hostReport) take(started int64, report TrialReport) (fresh bool) {
+	if started < r.started {
+		return false
+	}
+	if started > r.started || r.counts == nil {
+		*r = hostReport{started: started, counts: rollout.Batch{}}
+	}
+	for route, counts := range report.Counts {
+		if answers(counts) > answers(r.counts[route]) {
+			r.counts[route], fresh = counts, true
+		}
+	}
+	fresh = fresh || report.Bad && !r.bad
+	r.bad = r.bad || report.Bad
+	return fresh
+}
+
+// answers counts the answers of a route.
+func answers(counts rollout.RouteCounts) (n uint64) {
+	n = uint64(counts.Old.N)
+	for _, c := range counts.New {
+		n += uint64(c.N)
+	}
+	return n
+}
+
 // SetOrders takes in the operators' rollouts by service.
 func (h *Host) SetOrders(orders []rollout.Order) {
 	h.mu.Lock()
@@ -47,7 +81,7 @@
 	for _, order := range orders {
 		known := h.rollouts[order.Service]
 		if known == nil || known.state.Order.Target != order.Target || known.state.Order.Within != order.Within {
-			known = &trial{state: rollout.NewTrial(now, order, 0), reports: map[string]rollout.Batch{}, own: rollout.Batch{}, seen: rollout.Batch{}}
+			known = &trial{state: rollout.NewTrial(now, order, 0), reports: map[string]*hostReport{}, own: rollout.Batch{}, seen: rollout.Batch{}}
 			h.log.Emit(events.MoveStep, "service", order.Service, "target", order.Target, "within", order.Within, "recorded", order.Recorded)
 		}
 		known.recorded(order)
@@ -163,24 +197,28 @@
 	t.own[route] = of
 }
 
-// hearTrials takes in what another host reports of rollouts.
-func (h *Host) hearTrials(now time.Duration, m Message) {
-	v := h.view.Load()
-	for _, report := range m.Trials {
-		t := v.rollouts[report.Service]
-		if t == nil {
-			continue
-		}
-		t.mu.Lock()
-		if t.state.Order.Revision == report.Revision {
-			t.reports[m.Host] = report.Counts
-			t.state = t.state.WithElapsed(now, time.Duration(report.ElapsedMS)*time.Millisecond)
-			if report.Bad {
-				t.state = t.state.WithVerdict("found bad by host " + m.Host)
-			}
-		}
-		t.mu.Unlock()
+// hearTrial takes in what another host reports of a rollout, and reports whether it was not known.
+func (h *Host) hearTrial(now time.Duration, m *TrialNews) (fresh bool) {
+	t := h.view.Load().rollouts[m.Report.Service]
+	if t == nil {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.state.Order.Revision != m.Report.Revision {
+		return false
+	}
+	heard := t.reports[m.Host]
+	if heard == nil {
+		heard = &hostReport{}
+		t.reports[m.Host] = heard
 	}
+	fresh = heard.take(m.Started, m.Report)
+	t.state = t.state.WithElapsed(now, time.Duration(m.Report.ElapsedMS)*time.Millisecond)
+	if m.Report.Bad {
+		t.state = t.state.WithVerdict("found bad by host " + m.Host)
+	}
+	return fresh
 }
 
 // trialReports returns what the other hosts need to know of running rollouts.
@@ -191,16 +229,31 @@
 		t := v.rollouts[service]
 		t.mu.Lock()
 		if !t.state.Order.Recorded.Over() && len(reports) < maxTrials {
-			reports = append(reports, TrialReport{
+			report := TrialReport{
 				Service: service, Revision: t.state.Order.Revision, ElapsedMS: t.state.Elapsed(now).Milliseconds(),
-				Bad: t.state.Phase == rollout.Reverted, Counts: cloneBatch(t.own),
-			})
+				Bad: t.state.Phase == rollout.Reverted,
+			}
+			reports = append(reports, byRoute(report, t.own)...)
 		}
 		t.mu.Unlock()
 	}
 	return reports
 }
 
+// byRoute divides evidence among reports of one route each, since several may not fit one message. Without evidence the time
+// and the verdict are reported.
+func byRoute(report TrialReport, counts rollout.Batch) (reports []TrialReport) {
+	if len(counts) == 0 {
+		return []TrialReport{report}
+	}
+	routes := slices.Sorted(maps.Keys(counts))
+	for _, route := range routes[:min(len(routes), maxTrialRoutes)] {
+		report.Counts = cloneBatch(rollout.Batch{route: counts[route]})
+		reports = append(reports, report)
+	}
+	return reports
+}
+
 func cloneBatch(b rollout.Batch) rollout.Batch { return rollout.Batch{}.Plus(b) }
 
 // runTrials judges the running rollouts until ctx ends.
@@ -239,7 +292,7 @@
 	before := t.state.Phase
 	total := cloneBatch(t.own)
 	for _, report := range t.reports {
-		total = total.Plus(report)
+		total = total.Plus(report.counts)
 	}
 	batch := since(total, t.seen)
 	t.seen = total
--- a/host/entry/suspects.go
+++ b/host/entry/suspects.go
@@ -93,11 +93,22 @@
 	s.broken[key] = kept
 }
 
-// heard takes in a crash that another host saw.
-func (s *suspects) heard(now time.Duration, crash Crash) {
+// heard takes in a crash that another host saw, and reports whether it was not known.
+func (s *suspects) heard(now time.Duration, crash Crash) (fresh bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	_, known := s.crashes[crash.Fingerprint][crash.Server]
 	s.add(now, crash)
+	return !known
+}
+
+// passOn tells the other hosts of a crash that this host heard of.
+func (s *suspects) passOn(crash Crash) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.tell) < maxSuspects {
+		s.tell[crash] = crashRepeats
+	}
 }
 
 func (s *suspects) add(now time.Duration, crash Crash) {
--- a/host/entry/teams.go
+++ b/host/entry/teams.go
@@ -58,10 +58,11 @@
 	}
 	state := t.of(limits.Name)
 	others, hosts := t.host.fleet.demand(now, state.hash)
+	known := t.host.fleet.known()
 	state.mu.Lock()
 	defer state.mu.Unlock()
 	own := state.demand.At(now)
-	part := share.OfAt(now, limits.Rate, share.Demand{Own: own, Told: state.told, Others: others}, hosts, t.host.fleet.known())
+	part := share.OfAt(now, limits.Rate, share.Demand{Own: own, Told: state.told, Others: others}, hosts, known)
 	state.demand = state.demand.WithEvent(now)
 	capacity := max(minTokens, (limits.Burst+rateSlackPart*t.host.limits.Load().RateSlack)*part)
 	if !state.begun {
@@ -73,6 +74,21 @@
 	return a
 }
 
+// told returns the rates that the other hosts were told last.
+func (t *teams) told() map[uint32]uint16 {
+	rates := map[uint32]uint16{}
+	t.all.Range(func(_, value any) bool {
+		state := value.(*team)
+		state.mu.Lock()
+		defer state.mu.Unlock()
+		if scaled := state.told * rateScale; scaled >= 1 {
+			rates[state.hash] = uint16(min(scaled, 65535))
+		}
+		return true
+	})
+	return rates
+}
+
 // demands returns the rates of the teams that sent requests lately.
 func (t *teams) demands(now time.Duration) map[uint32]uint16 {
 	rates := map[uint32]uint16{}
--- a/io/settings/entry.go
+++ b/io/settings/entry.go
@@ -22,6 +22,8 @@
 	PeerAddress     string `toml:"peer-address"`
 	StoreEndpoint   string `toml:"store-endpoint"`
 	LogLevel        string `toml:"log-level"`
+	// FirstStart is set when the whole fleet starts for the first time, long before its callers come.
+	FirstStart bool `toml:"first-start"`
 	// Seeds are IP:port pairs of hosts that may be running; their ports are not used.
 	Seeds []string `toml:"seeds"`
 	// Regions maps each failure domain to its region.
