--- a/host/entry/domains.go
+++ b/host/entry/domains.go
@@ -159,9 +159,13 @@
 	f.newest(now, &summary)
 	targets := f.delegatesElsewhere(now)
 	packets := []Packet{{Summary: &summary}}
-	if first := summary.Listed; len(first) > 0 && first[0].Host == origin.Host || f.ticks%idleEvery == 0 {
+	demand := f.ownRates(now)
+	switch first := len(listed) > 0 && listed[0].Host == origin.Host; {
+	case len(demand) <= maxDemands:
+		summary.Whole, summary.Demand = true, demand
+	case first || f.ticks%idleEvery == 0:
 		// The other delegate is believed only when this one falls silent.
-		packets = append(packets, ratePackets(origin, ofDomain, f.ownRates(now))...)
+		packets = append(packets, ratePackets(origin, ofDomain, demand)...)
 	}
 	packets = append(packets, trials...)
 	introduces := f.ticks%introduceEvery == 0
@@ -407,6 +411,9 @@
 		return
 	}
 	s.Summary, s.heardAt = *m, now
+	if m.Whole {
+		s.rates.with(now, &Rates{Origin: m.Origin, Scope: ofDomain, Parts: 1, Demand: m.Demand})
+	}
 	for address, failureDomain := range f.contacts {
 		if failureDomain == m.FailureDomain {
 			delete(f.contacts, address)
--- a/host/entry/fleet.go
+++ b/host/entry/fleet.go
@@ -27,6 +27,8 @@
 	forgetAfter = time.Minute
 	// fleetKnown is the time after the start from which hosts that were not heard from are taken for gone.
 	fleetKnown = 3 * time.Second
+	// strangers is the number of hosts of other failure domains that a host greets while it knows nobody.
+	strangers = 6
 	// silentEvery is how many ticks pass between two messages to a host that is silent.
 	silentEvery = 4
 )
@@ -107,7 +109,7 @@
 	if !known {
 		f.contacts[address] = failureDomain
 	}
-	alone := len(f.peers)+len(f.domains) == 0
+	alone := len(f.peers)+len(f.domains) == 0 && len(f.contacts) <= strangers
 	f.mu.Unlock()
 	if !known && (failureDomain == "" || failureDomain == own.FailureDomain || alone) {
 		f.sendMessage([]netip.AddrPort{address})
@@ -279,7 +281,7 @@
 			addresses = append(addresses, p.address)
 		}
 	}
-	if f.ticks%silentEvery == 1 {
+	if f.ticks%silentEvery == 1 || now < fleetKnown {
 		for address, failureDomain := range f.contacts {
 			if failureDomain == "" || failureDomain == f.host.settings.FailureDomain {
 				addresses = append(addresses, address)
--- a/host/entry/follow.go
+++ b/host/entry/follow.go
@@ -19,8 +19,10 @@
 	awayMemory = 5 * time.Second
 	// fleetHeard is the time after the start within which the other hosts are heard.
 	fleetHeard = 1200 * time.Millisecond
-	// greetingAnswered is the time after the start within which a seed that runs has answered, also from another region.
-	greetingAnswered = 250 * time.Millisecond
+	// fleetFormed is that time when all hosts start together.
+	fleetFormed = 2 * fleetHeard
+	// greetingAnswered is the time after the start within which a seed of the own region has answered.
+	greetingAnswered = 80 * time.Millisecond
 	// beginEvery is the time between two looks at whether this host may begin to read.
 	beginEvery = 20 * time.Millisecond
 	// firstAnswer is how long a host waits at its start for the objects of the hosts that it follows.
@@ -49,7 +51,7 @@
 func (h *Host) Begin(ctx context.Context) (followUntil time.Time) {
 	limit := greetingAnswered
 	if h.settings.FirstStart {
-		limit = fleetHeard
+		limit = fleetFormed
 	}
 	ticker := time.NewTicker(beginEvery)
 	defer ticker.Stop()
@@ -80,13 +82,13 @@
 }
 
 // Registers reports whether this host has to be found through the store: it speaks for its failure domain.
-func (h *Host) Registers() bool { return h.now() >= fleetHeard && h.fleet.speaks(h.now()) }
+func (h *Host) Registers() bool { return h.now() >= fleetKnown && h.fleet.speaks(h.now()) }
 
 // Alone reports whether this host heard no other one in the time in which a seed answers.
 func (h *Host) Alone() bool {
 	limit := greetingAnswered
 	if h.settings.FirstStart {
-		limit = fleetHeard
+		limit = fleetKnown
 	}
 	return h.now() >= limit && h.fleet.hosts() == 1
 }
--- a/host/entry/messages.go
+++ b/host/entry/messages.go
@@ -87,6 +87,9 @@
 	Hosts   uint16
 	Listed  []Listed
 	Crashes []Crash
+	// Demand holds the rates of the domain's teams when there are at most maxDemands, and Whole is set; otherwise Rates follow.
+	Whole  bool
+	Demand map[uint32]uint32
 	// NewerAt is the host of the domain that knows the objects with Digests and Revisions, empty when none watches the store.
 	NewerAt   string
 	Digests   Digests
