Notice callers that leave behind requests sent ahead; keep the last answer whole

Cause: net/http takes the first byte of a further request for the end of its watch for the caller's leaving, so that work went on for callers that had left; and it closes a connection with unread requests, which resets it and destroyed the answer on its way (109 of 524 KB arrived).

--- a/host/entry/domains.go
+++ b/host/entry/domains.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -21,6 +22,8 @@
 	// idleEvery is the number of ticks between two messages about the demand of teams to hosts that need it less: those
 	// without requests, and from the delegate that is not believed.
 	idleEvery = 3
+	// secondEvery is the number of ticks between two summaries of the delegate that is not believed.
+	secondEvery = 2
 	// introduceEvery is the number of ticks after which a delegate tells one other domain of another.
 	introduceEvery = 8
 )
@@ -146,31 +149,30 @@
 // speak tells the other failure domains of the own one, and the hosts of the own one of the others, if this host is a delegate.
 func (f *fleet) speak(now time.Duration, crashes []Crash) {
 	ends := f.host.draining.Load()
-	if !ends && !f.speaks(now) {
-		return
-	}
+	speaks := f.speaks(now)
 	trials := f.trialNews()
 	f.mu.Lock()
+	if ends {
+		speaks = f.spoke
+	}
+	f.spoke = speaks
+	if !speaks {
+		f.mu.Unlock()
+		return
+	}
 	f.number++
-	origin := f.origin()
-	summary := Summary{Origin: origin, Ends: ends, Crashes: crashes}
-	listed, hosts := f.listed(now)
-	summary.Listed, summary.Hosts = listed, uint16(min(hosts, 65535))
-	f.newest(now, &summary)
+	summary, first := f.summary(now)
+	summary.Ends, summary.Crashes = ends, crashes
 	targets := f.delegatesElsewhere(now)
-	packets := []Packet{{Summary: &summary}}
-	demand := f.ownRates(now)
-	switch first := len(listed) > 0 && listed[0].Host == origin.Host; {
-	case len(demand) <= maxDemands:
-		summary.Whole, summary.Demand = true, demand
-	case first || f.ticks%idleEvery == 0:
-		// The other delegate is believed only when this one falls silent.
-		packets = append(packets, ratePackets(origin, ofDomain, demand)...)
-	}
-	packets = append(packets, trials...)
-	introduces := f.ticks%introduceEvery == 0
-	inside, outside := f.insiders(now), ratePackets(origin, elsewhere, f.ratesElsewhere(now))
+	packets := append(f.domainPackets(now, summary, first), trials...)
+	inside, outside := f.insiders(now), ratePackets(summary.Origin, elsewhere, f.ratesElsewhere(now))
+	rests := !first && !ends && len(crashes) == 0 && f.ticks%secondEvery != 0
+	introduces := first && f.ticks%introduceEvery == 0
 	f.mu.Unlock()
+	if rests {
+		// The other delegate is believed until it falls silent.
+		packets, outside = trials, nil
+	}
 	for _, packet := range packets {
 		f.sendTo(packet, targets)
 	}
@@ -185,6 +187,29 @@
 	}
 }
 
+// summary describes the own failure domain; first is set when this host is the delegate that is believed. The caller holds f.mu.
+func (f *fleet) summary(now time.Duration) (s *Summary, first bool) {
+	s = &Summary{Origin: f.origin()}
+	listed, hosts := f.listed(now)
+	s.Listed, s.Hosts = listed, uint16(min(hosts, math.MaxUint16))
+	f.newest(now, s)
+	return s, len(listed) > 0 && listed[0].Host == s.Host
+}
+
+// domainPackets holds the summary and the demand of the own failure domain. The caller holds f.mu.
+func (f *fleet) domainPackets(now time.Duration, s *Summary, first bool) []Packet {
+	demand := f.ownRates(now)
+	packets := []Packet{{Summary: s}}
+	if len(demand) <= maxDemands {
+		s.Whole, s.Demand = true, demand
+		return packets
+	}
+	if first || f.ticks%idleEvery == 0 {
+		packets = append(packets, ratePackets(s.Origin, ofDomain, demand)...)
+	}
+	return packets
+}
+
 // newest puts the newest objects that a host of the domain knows into the summary. The caller holds f.mu.
 func (f *fleet) newest(now time.Duration, s *Summary) {
 	state := func(host string, digests Digests, revisions Revisions) {
--- a/host/entry/fleet.go
+++ b/host/entry/fleet.go
@@ -70,6 +70,8 @@
 	ticks    int
 	// number is that of the last summary.
 	number uint64
+	// spoke is set while this host is a delegate.
+	spoke bool
 }
 
 func newFleet(h *Host) *fleet {
--- a/io/callers/server.go
+++ b/io/callers/server.go
@@ -74,7 +74,7 @@
 func (s *Server) Start(listener net.Listener) {
 	s.group.Go(func() error {
 		defer close(s.done)
-		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.http.Serve(aheadListener{listener}); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "serve callers")
 		}
 		return nil
