--- a/host/entry/answer.go
+++ b/host/entry/answer.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"vanillatally/io/backends"
 	"vanillatally/io/callers"
 	"vanillatally/io/events"
@@ -36,11 +38,20 @@
 	}
 	if err := callers.Stream(x.w, response.Rest); err != nil {
 		discard(response)
+		x.brokeOff(err)
 		return errAborted
 	}
 	return nil
 }
 
+// brokeOff notes that a long answer ended early; err says whether by the server or by the caller.
+func (x *exchange) brokeOff(err error) {
+	var failure *backends.Failure
+	if errors.As(err, &failure) && failure.Cause != backends.CauseCancelled {
+		x.serving.result(x.host.now(), true)
+	}
+}
+
 // record counts the request and logs what became of it.
 func (x *exchange) record(refusal *callers.Refusal, err error) {
 	team := "none"
--- a/host/entry/request.go
+++ b/host/entry/request.go
@@ -58,6 +58,8 @@
 	// fallback is an answer of a server that is passed on when no other server gives a better one.
 	fallback *backends.Response
 	server   string
+	// serving is the server of the last attempt, whose name is server.
+	serving  *server
 	expected time.Duration
 	status   int
 	// inputs are further attributes of the log line, which say what decided.
@@ -260,7 +262,7 @@
 			return x.end(callers.Refuse(http.StatusServiceUnavailable, "retry-budget", "too many requests are being retried").
 				WithRetryAfter(retrySoon))
 		}
-		x.expected, x.server = choice.Expected, s.ID
+		x.expected, x.server, x.serving = choice.Expected, s.ID, s
 		outcome := x.attempt(v, s, choice)
 		switch {
 		case outcome.response != nil:
