--- a/core/share/share.go
+++ b/core/share/share.go
@@ -38,7 +38,7 @@
 )
 
 // Of returns this host's part of a limit of rate per second, in (0, 1], from its own demand, that of the others, and the
-// number of hosts.
+// number of hosts that get requests.
 func Of(rate, own, others float64, hosts int) float64 {
 	n := float64(max(hosts, 1))
 	each := min(doubt, maxDoubt*rate/n)
@@ -58,17 +58,20 @@
 // sum of what they told.
 type Demand struct{ Own, Told, Others float64 }
 
-// OfAt returns this host's part of a limit age after its start. known is the number of hosts that may be running. Until
-// the reports of the others have come, every host would take itself for the only one. Near the limit and in a jump only
-// what was told counts, so that the parts of all hosts do not exceed one together: the others' demand may have jumped too.
-func OfAt(age time.Duration, rate float64, d Demand, hosts, known int) float64 {
+// Fleet is what a host knows of the fleet: the hosts that may be running, and those that get requests, this one included.
+type Fleet struct{ Known, Busy int }
+
+// OfAt returns this host's part of a limit age after its start. Until the reports of the others have come, every host would take
+// itself for the only one. Near the limit and in a jump only what was told counts, so that the parts of all hosts do not exceed
+// one together: the others' demand may have jumped too.
+func OfAt(age time.Duration, rate float64, d Demand, f Fleet) float64 {
 	own := d.Own
 	if d.Own+d.Others >= calm*rate || d.Own > jump*d.Told+jumpLeast {
 		own = min(own, d.Told)
 	}
-	part := Of(rate, own, d.Others, hosts)
+	part := Of(rate, own, d.Others, f.Busy)
 	if age < demandKnown {
-		return min(part, 1/float64(max(known, 1)))
+		return min(part, 1/float64(max(f.Known, 1)))
 	}
 	return part
 }
@@ -89,9 +92,9 @@
 	overdraftTime = 500 * time.Millisecond
 )
 
-// Overdraft is how far a host may overdraw its part of a limit of rate per second age after its start. While the demand of all hosts is far
-// from the limit, a host's bucket runs dry only because requests come unevenly. What is overdrawn is repaid, so that the
-// sum over all hosts exceeds the limit for as long as reports take.
+// Overdraft is how far a host may overdraw its part of a limit of rate per second age after its start. While the demand of all
+// hosts is far from the limit, a host's bucket runs dry only because requests come unevenly. What is overdrawn is repaid, so
+// that the sum over all hosts exceeds the limit for as long as reports take.
 func Overdraft(age time.Duration, rate, part, demand float64) float64 {
 	if age < demandKnown || demand >= calm*rate {
 		return 0
--- a/host/entry/domains.go
+++ b/host/entry/domains.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"vanillatally/core/delegates"
+	"vanillatally/core/share"
 	"vanillatally/core/watchers"
 )
 
@@ -78,6 +79,31 @@
 	return found
 }
 
+// rater returns the delegate whose rates count, nil without one: that which is believed, or else the last one that has stopped
+// speaking. A domain whose only host leaves still admits the requests on its open connections.
+func (d *domain) rater(now, silence time.Duration) *speaker {
+	if s := d.speaker(now, silence); s != nil {
+		return s
+	}
+	var found *speaker
+	for _, s := range d.speakers {
+		if s.Ends && now-s.heardAt < silence && (found == nil || s.heardAt > found.heardAt) {
+			found = s
+		}
+	}
+	return found
+}
+
+// demand is what the delegate stated of a team's demand in its domain, in requests per second. It fades once a delegate that
+// stops speaking has fallen silent.
+func (s *speaker) demand(now time.Duration, team uint32) float64 {
+	stated := s.rates.of(team)
+	if silent := now - s.heardAt; s.Ends && silent > tick {
+		return share.Faded(stated, silent-tick)
+	}
+	return stated
+}
+
 // domainNames returns the names of the other failure domains that were heard of, in order. The caller holds f.mu.
 func (f *fleet) domainNames() []string { return slices.Sorted(maps.Keys(f.domains)) }
 
@@ -192,6 +218,7 @@
 	s = &Summary{Origin: f.origin()}
 	listed, hosts := f.listed(now)
 	s.Listed, s.Hosts = listed, uint16(min(hosts, math.MaxUint16))
+	s.Busy = uint16(min(f.ownBusy(now), math.MaxUint16))
 	f.newest(now, s)
 	return s, len(listed) > 0 && listed[0].Host == s.Host
 }
@@ -295,7 +322,7 @@
 		if p.FailureDomain != f.host.settings.FailureDomain || now-p.heardAt >= silentAfter {
 			continue
 		}
-		if len(p.Demand) > 0 || p.rates.count > 0 || (f.ticks+int(shortHash(name)))%idleEvery == 0 {
+		if p.busy() || (f.ticks+int(shortHash(name)))%idleEvery == 0 {
 			addresses = append(addresses, p.address)
 		}
 	}
@@ -329,13 +356,13 @@
 func (f *fleet) ratesElsewhere(now time.Duration) map[uint32]uint32 {
 	sum := map[uint32]uint32{}
 	for name, d := range f.domains {
-		s := d.speaker(now, f.domainSilence(name))
+		s := d.rater(now, f.domainSilence(name))
 		if s == nil {
 			continue
 		}
 		for _, part := range s.rates.parts {
-			for team, rate := range part {
-				sum[team] += rate
+			for team := range part {
+				sum[team] += uint32(s.demand(now, team) * rateScale)
 			}
 		}
 	}
--- a/host/entry/members.go
+++ b/host/entry/members.go
@@ -86,15 +86,33 @@
 	return f.size() + len(f.contacts)
 }
 
-// demand sums up what the other hosts see of a team's demand, in requests per second.
-func (f *fleet) demand(now time.Duration, team uint32) (perSecond float64, hosts int) {
+// ownBusy returns the number of hosts of the own failure domain that get requests. This host counts as one, since only the
+// admission of its requests asks. The caller holds f.mu.
+func (f *fleet) ownBusy(now time.Duration) int {
+	busy := 1
+	for _, p := range f.peers {
+		if p.busy() && now-p.heardAt < silentAfter && p.FailureDomain == f.host.settings.FailureDomain {
+			busy++
+		}
+	}
+	return busy
+}
+
+// busy reports whether the host gets requests.
+func (p *peer) busy() bool { return len(p.Demand) > 0 || p.rates.count > 0 }
+
+// demand sums up what the other hosts see of a team's demand, in requests per second. busy is the number of hosts that get
+// requests, this one included.
+func (f *fleet) demand(now time.Duration, team uint32) (perSecond float64, busy int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	own := f.host.settings.FailureDomain
 	spoken := 0.0
+	busy = f.ownBusy(now)
 	for name, d := range f.domains {
-		if s := d.speaker(now, f.domainSilence(name)); s != nil {
-			spoken += s.rates.of(team)
+		if s := d.rater(now, f.domainSilence(name)); s != nil {
+			spoken += s.demand(now, team)
+			busy += int(s.Busy)
 		}
 	}
 	for _, r := range f.elsewhere {
@@ -108,7 +126,7 @@
 			perSecond += f.statedDemand(p, now, team)
 		}
 	}
-	return perSecond + spoken, f.count(now)
+	return perSecond + spoken, busy
 }
 
 // statedDemand is what a host stated of a team's demand, in requests per second. A leaving host still admits the requests on
--- a/host/entry/messages.go
+++ b/host/entry/messages.go
@@ -83,8 +83,9 @@
 	Origin
 	// Ends is set when the host speaks for the domain no longer.
 	Ends bool
-	// Hosts is the number of hosts of the domain that live. Listed are the first of them, the delegates before the others.
+	// Hosts is the number of hosts of the domain that live, Busy that of those with requests. Listed are the first of them, the delegates before the others.
 	Hosts   uint16
+	Busy    uint16
 	Listed  []Listed
 	Crashes []Crash
 	// Demand holds the rates of the domain's teams when there are at most maxDemands, and Whole is set; otherwise Rates follow.
--- a/host/entry/teams.go
+++ b/host/entry/teams.go
@@ -57,12 +57,12 @@
 		return rateDecision{ok: true}
 	}
 	state := t.of(limits.Name)
-	others, hosts := t.host.fleet.demand(now, state.hash)
+	others, busy := t.host.fleet.demand(now, state.hash)
 	known := t.host.fleet.known()
 	state.mu.Lock()
 	defer state.mu.Unlock()
 	own := state.demand.At(now)
-	part := share.OfAt(now, limits.Rate, share.Demand{Own: own, Told: state.told, Others: others}, hosts, known)
+	part := share.OfAt(now, limits.Rate, share.Demand{Own: own, Told: state.told, Others: others}, share.Fleet{Known: known, Busy: busy})
 	state.demand = state.demand.WithEvent(now)
 	capacity := max(minTokens, (limits.Burst+rateSlackPart*t.host.limits.Load().RateSlack)*part)
 	if !state.begun {
