Copy summaries before they are passed on

Cause: introduce and answers to greetings encoded a summary while the next one replaced it; the race detector found it in TestFleetHearsItsFailureDomains.

--- a/host/entry/domains.go
+++ b/host/entry/domains.go
@@ -412,7 +412,9 @@
 func (f *fleet) summaries(now time.Duration, but string) (packets []Packet) {
 	for _, name := range f.domainNames() {
 		if s := f.domains[name].speaker(now, f.domainSilence(name)); s != nil && name != but {
-			packets = append(packets, Packet{Summary: &s.Summary})
+			// The next summary replaces the one in s.
+			summary := s.Summary
+			packets = append(packets, Packet{Summary: &summary})
 		}
 	}
 	return packets
