Introduce failure domains to each other each tick after a start

Cause: after the start of a whole fleet two domains could stay unknown to each other for the 8 ticks between introductions; their demand was missing meanwhile.

--- a/host/entry/domains.go
+++ b/host/entry/domains.go
@@ -27,6 +27,8 @@
 	secondEvery = 2
 	// introduceEvery is the number of ticks after which a delegate tells one other domain of another.
 	introduceEvery = 8
+	// introducing is the time after the start in which it does so each tick, since the whole fleet may have started.
+	introducing = 8 * time.Second
 )
 
 // domain is another failure domain as its delegates describe it.
@@ -193,7 +195,7 @@
 	packets := append(f.domainPackets(now, summary, first), trials...)
 	inside, outside := f.insiders(now), ratePackets(summary.Origin, elsewhere, f.ratesElsewhere(now))
 	rests := !first && !ends && len(crashes) == 0 && f.ticks%secondEvery != 0
-	introduces := first && f.ticks%introduceEvery == 0
+	introduces := first && (f.ticks%introduceEvery == 0 || now < introducing)
 	f.mu.Unlock()
 	if rests {
 		// The other delegate is believed until it falls silent.
