Ask whether the caller is there before a request is sent

A host that reads a request late finds the end of the connection behind it; net/http looks for that in a goroutine that may run after the request was sent.

--- a/host/entry/request.go
+++ b/host/entry/request.go
@@ -234,7 +234,7 @@
 // place offers the request to servers until one answers it.
 func (x *exchange) place() error {
 	for try := 1; ; try++ {
-		if x.r.Context().Err() != nil && (x.idempotent || x.runs == 0) {
+		if (x.idempotent || x.runs == 0) && callers.Left(x.r.Context()) {
 			return x.end(callers.Refuse(statusClientGone, "caller-gone", "the caller has left"))
 		}
 		v := x.host.view.Load()
--- a/io/callers/ahead_test.go
+++ b/io/callers/ahead_test.go
@@ -121,3 +121,35 @@
 		t.Error(err)
 	}
 }
+
+// Guards against requests that are passed on although their callers left before a busy host read them.
+func TestCallerThatLeftBeforeItsRequestWasRead(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const callers = 20
+	left := make(chan bool, callers+1)
+	s := New(Options{Requests: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { left <- Left(r.Context()) }), DrainNotice: time.Millisecond})
+	for range callers {
+		conn := dial(t, listener.Addr().String())
+		fmt.Fprint(conn, request("/first"))
+		_ = conn.Close()
+	}
+	s.Start(listener)
+	for range callers {
+		if !<-left {
+			t.Error("a caller that had left was not noticed")
+		}
+	}
+	conn := dial(t, listener.Addr().String())
+	fmt.Fprint(conn, request("/first"))
+	if <-left {
+		t.Error("a caller that waits counts as gone")
+	}
+	_ = conn.Close()
+	if err := s.Shutdown(t.Context()); err != nil {
+		t.Error(err)
+	}
+}
--- a/io/callers/server.go
+++ b/io/callers/server.go
@@ -63,6 +63,7 @@
 		MaxHeaderBytes:    s.options.MaxHeaderBytes,
 		ReadHeaderTimeout: s.options.HeaderTimeout,
 		IdleTimeout:       s.options.IdleTimeout,
+		ConnContext:       withConnection,
 	}
 	if s.options.Logger != nil {
 		s.http.ErrorLog = slog.NewLogLogger(s.options.Logger.Handler(), slog.LevelWarn)
