--- a/host/entry/fleet_test.go
+++ b/host/entry/fleet_test.go
@@ -120,6 +120,19 @@
 	}
 }
 
+// Guards against a failure domain without hosts that hides another delegate: its rates may arrive before its summary.
+func TestRatesBeforeTheSummary(t *testing.T) {
+	h := newTestHost(t, newBackend(t, good))
+	h.settings.Regions = map[string]string{"north-a": "north", "north-b": "north"}
+	from := netip.MustParseAddrPort("10.0.0.9:7000")
+	origin := func(host string) Origin { return Origin{FailureDomain: "north-b", Host: host, Started: 1, Number: 1} }
+	h.fleet.receive(from, Packet{Summary: &Summary{Origin: origin("host-3"), Hosts: 2, Listed: []Listed{{Host: "host-3", State: Ready, Caller: "host-3:80"}}}})
+	h.fleet.receive(from, Packet{Rates: &Rates{Origin: origin("host-2"), Scope: ofDomain, Parts: 1}})
+	if got := h.fleet.hosts(); got != 3 {
+		t.Errorf("%d hosts live, want 3", got)
+	}
+}
+
 // Guards against a view that stays old because a watch has gone deaf, while one host knows newer objects and another one
 // the same old ones, and against hosts that read the store without need.
 func TestOutdatedViewIsReadAgain(t *testing.T) {
