Hear hosts whose clock was set back before they restarted

Cause: messages state the time of the host's start; a host that restarts after its clock was set back counted as an earlier process for a minute. The test fails without the change.

--- a/host/entry/fleet.go
+++ b/host/entry/fleet.go
@@ -141,7 +141,8 @@
 	address := netip.AddrPortFrom(from.Addr().Unmap(), f.port)
 	f.mu.Lock()
 	known := f.peers[m.Host]
-	if known != nil && known.Started > m.Started {
+	if known != nil && known.Started > m.Started && now-known.heardAt < silentAfter {
+		// A message of an earlier process came late. After a silence it is that of a host whose clock was set back.
 		f.mu.Unlock()
 		return
 	}
--- a/host/entry/fleet_test.go
+++ b/host/entry/fleet_test.go
@@ -133,6 +133,39 @@
 	}
 }
 
+// Guards against a host that is ignored after a restart because its clock was set back, and against late messages of its
+// earlier process.
+func TestHostWhoseClockWasSetBackIsHeard(t *testing.T) {
+	h := newTestHost(t, newBackend(t, good))
+	h.settings.Regions = map[string]string{"north-a": "north", "north-b": "north"}
+	from := netip.MustParseAddrPort("10.0.0.9:7000")
+	tell := func(started int64, state State) {
+		h.fleet.hear(from, Message{Host: "host-2", Started: started, State: state, FailureDomain: "north-a", Caller: "host-2:80"})
+		h.fleet.receive(from, Packet{Summary: &Summary{
+			Origin: Origin{FailureDomain: "north-b", Host: "host-3", Started: started, Number: 1}, Hosts: 1,
+			Listed: []Listed{{Host: "host-3", State: state, Caller: "host-3:80"}},
+		}})
+	}
+	tell(2000, Ready)
+	tell(1000, Leaving)
+	if got := h.fleet.find("north", ""); len(got) != 3 {
+		t.Errorf("late messages of an earlier process count: %v", got)
+	}
+	h.start = h.start.Add(-silentAfter - time.Second)
+	if got := h.fleet.find("north", ""); len(got) != 1 {
+		t.Errorf("silent hosts are named: %v", got)
+	}
+	tell(2000, Ready)
+	if got := h.fleet.find("north", ""); len(got) != 2 {
+		t.Errorf("a summary that was heard before counts again: %v", got)
+	}
+	h.start = h.start.Add(-silentAfter - time.Second)
+	tell(1000, Ready)
+	if got := h.fleet.find("north", ""); len(got) != 3 {
+		t.Errorf("hosts whose clocks were set back are not heard: %v", got)
+	}
+}
+
 // Guards against a view that stays old because a watch has gone deaf, while one host knows newer objects and another one
 // the same old ones, and against hosts that read the store without need.
 func TestOutdatedViewIsReadAgain(t *testing.T) {
--- a/host/entry/hear.go
+++ b/host/entry/hear.go
@@ -40,7 +40,7 @@
 	f.mu.Lock()
 	_, heardOf := f.domains[m.FailureDomain]
 	s := f.speakerOf(m.Origin)
-	if s == nil || !m.newer(s.Summary.Origin) {
+	if s == nil || !m.replaces(s.Summary.Origin, now-s.heardAt) {
 		f.mu.Unlock()
 		return
 	}
@@ -91,7 +91,7 @@
 			p.rates.with(now, m)
 		}
 	case m.Scope == ofDomain:
-		if s := f.speakerOf(m.Origin); s != nil && (m.newer(s.rates.Origin) || m.Number == s.rates.Number) {
+		if s := f.speakerOf(m.Origin); s != nil && (m.replaces(s.rates.Origin, now-s.rates.heardAt) || m.Number == s.rates.Number) {
 			s.rates.with(now, m)
 		}
 	case m.FailureDomain == f.host.settings.FailureDomain:
@@ -106,7 +106,7 @@
 		r = &rates{}
 		f.elsewhere[m.Host] = r
 	}
-	if m.newer(r.Origin) || m.Number == r.Number {
+	if m.replaces(r.Origin, now-r.heardAt) || m.Number == r.Number {
 		r.with(now, m)
 	}
 	for host, other := range f.elsewhere {
--- a/host/entry/messages.go
+++ b/host/entry/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"vanillatally/core/rollout"
 	"vanillatally/core/watchers"
@@ -77,6 +78,13 @@
 	return o.Started > before.Started || o.Started == before.Started && o.Number > before.Number
 }
 
+// replaces reports whether the message of o replaces that of before, of the same host, which was heard silent ago. After a
+// silence an earlier start is that of a host whose clock was set back; a message that was heard already never counts again,
+// since it may have been passed on after its host died.
+func (o Origin) replaces(before Origin, silent time.Duration) bool {
+	return o.newer(before) || o.Started < before.Started && silent >= silentAfter
+}
+
 // Summary is what the delegates of a failure domain tell those of the other domains, who pass it on to their hosts.
 type Summary struct {
 	_ struct{} `cbor:",toarray"`
--- a/host/entry/rates.go
+++ b/host/entry/rates.go
@@ -1,8 +1,6 @@
 package entry
 
-import (
-	"time"
-)
+import "time"
 
 // rates are the parts of the rates that one host stated.
 type rates struct {
--- a/host/entry/speak.go
+++ b/host/entry/speak.go
@@ -181,8 +181,7 @@
 	return packets
 }
 
-// introduce tells a failure domain of which this host had not heard of the others, and now and then one of another, so that
-// no two of them stay unknown to each other.
+// introduce tells a failure domain that is new to this host of the others.
 func (f *fleet) introduce(now time.Duration, to *Summary) {
 	f.mu.Lock()
 	known := f.summaries(now, to.FailureDomain)
@@ -192,7 +191,7 @@
 	}
 }
 
-// introduceSome tells one failure domain of another one.
+// introduceSome tells one failure domain of another one, so that no two of them stay unknown to each other.
 func (f *fleet) introduceSome(now time.Duration) {
 	f.mu.Lock()
 	known := f.summaries(now, "")
