Name delegates and what they advertise by the usual terms

Cause: a newcomer stumbles over speakers, raters and strangers. Names and comments only. Measured: tests of host/entry and core/delegates pass.

--- a/core/delegates/delegates.go
+++ b/core/delegates/delegates.go
@@ -1,4 +1,4 @@
-// Package delegates decides which hosts speak for a failure domain, so that what hosts tell each other grows with the number
+// Package delegates decides which hosts represent a failure domain, so that what hosts tell each other grows with the number
 // of failure domains and not with the square of the fleet.
 package delegates
 
@@ -9,7 +9,7 @@
 	"vanillatally/core/watchers"
 )
 
-// Count is the number of hosts that speak for a failure domain. With two, the domain stays heard while one dies.
+// Count is the number of hosts that represent a failure domain. With two, the domain stays heard while one dies.
 const Count = 2
 
 // Listed is the number of hosts of a failure domain that the other domains know by name.
@@ -23,7 +23,7 @@
 	Store watchers.Store
 }
 
-// Choose returns the names of the hosts that speak for the domain, the one that is believed first.
+// Choose returns the names of the hosts that represent the domain, the one that is believed first.
 func Choose(hosts []Host) []string {
 	names := make([]string, 0, len(hosts))
 	for _, h := range hosts {
@@ -33,7 +33,7 @@
 	return names[:min(len(names), Count)]
 }
 
-// List returns the names of the hosts that the other domains have to know: those that speak for the domain, then those that
+// List returns the names of the hosts that the other domains have to know: its delegates, then those that
 // watch the store, then those that take requests.
 func List(hosts []Host) []string {
 	first := Choose(hosts)
--- a/host/entry/speak.go
+++ b/host/entry/advertise.go
@@ -11,17 +11,17 @@
 	"vanillatally/core/watchers"
 )
 
-// speak tells the other failure domains of the own one, and the hosts of the own one of the others, if this host is a delegate.
-func (f *fleet) speak(now time.Duration, crashes []Crash) {
+// advertise tells the other failure domains of the own one, and the hosts of the own one of the others, if this host is a delegate.
+func (f *fleet) advertise(now time.Duration, crashes []Crash) {
 	ends := f.host.draining.Load()
-	speaks := f.speaks(now)
+	delegated := f.isDelegate(now)
 	trials := f.trialNews()
 	f.mu.Lock()
 	if ends {
-		speaks = f.spoke
+		delegated = f.wasDelegate
 	}
-	f.spoke = speaks
-	if !speaks {
+	f.wasDelegate = delegated
+	if !delegated {
 		f.mu.Unlock()
 		return
 	}
@@ -48,7 +48,7 @@
 		f.sendTo(packet, inside)
 	}
 	if introduces {
-		f.introduceSome(now)
+		f.introducePair(now)
 	}
 }
 
@@ -106,7 +106,7 @@
 	reached := map[string]bool{own.FailureDomain: true, "": true}
 	for _, name := range f.domainNames() {
 		d := f.domains[name]
-		s := d.speaker(now, f.domainSilence(name))
+		s := d.primary(now, f.domainSilence(name))
 		reached[name] = s != nil
 		if s == nil || many && own.Regions[name] != own.Region && f.ticks%farEvery != 0 {
 			continue
@@ -136,7 +136,7 @@
 		if reached[name] {
 			continue
 		}
-		for _, s := range d.speakers {
+		for _, s := range d.delegates {
 			for _, listed := range s.Listed {
 				addresses = append(addresses, listed.Peer)
 			}
@@ -172,7 +172,7 @@
 // summaries returns what is known of the other failure domains but one. The caller holds f.mu.
 func (f *fleet) summaries(now time.Duration, but string) (packets []Packet) {
 	for _, name := range f.domainNames() {
-		if s := f.domains[name].speaker(now, f.domainSilence(name)); s != nil && name != but {
+		if s := f.domains[name].primary(now, f.domainSilence(name)); s != nil && name != but {
 			// The next summary replaces the one in s.
 			summary := s.Summary
 			packets = append(packets, Packet{Summary: &summary})
@@ -191,8 +191,8 @@
 	}
 }
 
-// introduceSome tells one failure domain of another one, so that no two of them stay unknown to each other.
-func (f *fleet) introduceSome(now time.Duration) {
+// introducePair tells one failure domain of another one, so that no two of them stay unknown to each other.
+func (f *fleet) introducePair(now time.Duration) {
 	f.mu.Lock()
 	known := f.summaries(now, "")
 	f.mu.Unlock()
@@ -204,7 +204,7 @@
 	f.sendTo(known[first], known[second].Summary.delegates())
 }
 
-// delegates returns the peer addresses of the hosts that speak for the domain.
+// delegates returns the peer addresses of the delegates of the domain.
 func (s *Summary) delegates() (addresses []netip.AddrPort) {
 	for _, listed := range s.Listed[:min(len(s.Listed), delegates.Count)] {
 		addresses = append(addresses, listed.Peer)
@@ -223,10 +223,10 @@
 	return packets
 }
 
-// speakersElsewhere returns the addresses of all delegates of the other failure domains. The caller holds f.mu.
-func (f *fleet) speakersElsewhere(now time.Duration) (addresses []netip.AddrPort) {
+// foreignDelegates returns the addresses of all delegates of the other failure domains. The caller holds f.mu.
+func (f *fleet) foreignDelegates(now time.Duration) (addresses []netip.AddrPort) {
 	for _, name := range f.domainNames() {
-		if s := f.domains[name].speaker(now, f.domainSilence(name)); s != nil {
+		if s := f.domains[name].primary(now, f.domainSilence(name)); s != nil {
 			addresses = append(addresses, s.delegates()...)
 		}
 	}
--- a/host/entry/domains.go
+++ b/host/entry/domains.go
@@ -31,22 +31,22 @@
 
 // domain is another failure domain as its delegates describe it.
 type domain struct {
-	// speakers holds what each delegate told, by host; it has an entry for each that was heard within forgetAfter.
-	speakers map[string]*speaker
+	// delegates holds what each delegate told, by host; it has an entry for each that was heard within forgetAfter.
+	delegates map[string]*delegate
 }
 
-// speaker is a delegate of another failure domain.
-type speaker struct {
+// delegate is a delegate of another failure domain.
+type delegate struct {
 	Summary
 	heardAt time.Duration
 	rates   rates
 }
 
-// speaker returns the first by name of the delegates that were heard lately, nil without one. All hosts believe the same one,
+// primary returns the first by name of the delegates that were heard lately, nil without one. All hosts believe the same one,
 // so that two delegates which know different things do no harm.
-func (d *domain) speaker(now, silence time.Duration) *speaker {
-	var found *speaker
-	for _, s := range d.speakers {
+func (d *domain) primary(now, silence time.Duration) *delegate {
+	var found *delegate
+	for _, s := range d.delegates {
 		// Rates may come before the first summary, which names the delegate.
 		if s.Host != "" && !s.Ends && now-s.heardAt < silence && (found == nil || s.Host < found.Host) {
 			found = s
@@ -55,14 +55,14 @@
 	return found
 }
 
-// rater returns the delegate whose rates count, nil without one: that which is believed, or else the last one that has stopped
-// speaking. A domain whose only host leaves still admits the requests on its open connections.
-func (d *domain) rater(now, silence time.Duration) *speaker {
-	if s := d.speaker(now, silence); s != nil {
+// rateSource returns the delegate whose rates count, nil without one: that which is believed, or else the last one that has stopped
+// being one. A domain whose only host leaves still admits the requests on its open connections.
+func (d *domain) rateSource(now, silence time.Duration) *delegate {
+	if s := d.primary(now, silence); s != nil {
 		return s
 	}
-	var found *speaker
-	for _, s := range d.speakers {
+	var found *delegate
+	for _, s := range d.delegates {
 		if s.Ends && now-s.heardAt < silence && (found == nil || s.heardAt > found.heardAt) {
 			found = s
 		}
@@ -71,8 +71,8 @@
 }
 
 // demand is what the delegate stated of a team's demand in its domain, in requests per second. It fades once a delegate that
-// stops speaking has fallen silent.
-func (s *speaker) demand(now time.Duration, team uint32) float64 {
+// stops being one has fallen silent.
+func (s *delegate) demand(now time.Duration, team uint32) float64 {
 	stated := s.rates.of(team)
 	if silent := now - s.heardAt; s.Ends && silent > tick {
 		return share.Faded(stated, silent-tick)
@@ -96,7 +96,7 @@
 	n := 1 + len(f.peers)
 	for _, d := range f.domains {
 		most := 0
-		for _, s := range d.speakers {
+		for _, s := range d.delegates {
 			most = max(most, int(s.Hosts))
 		}
 		n += most
@@ -126,8 +126,8 @@
 	return p.Store
 }
 
-// speaks reports whether this host is a delegate of its failure domain.
-func (f *fleet) speaks(now time.Duration) bool {
+// isDelegate reports whether this host is a delegate of its failure domain.
+func (f *fleet) isDelegate(now time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return slices.Contains(delegates.Choose(f.ownHosts(now)), f.host.settings.Host)
@@ -148,8 +148,8 @@
 	return all, len(own)
 }
 
-// speaksFirst reports whether this host is the delegate that its failure domain believes.
-func (f *fleet) speaksFirst(now time.Duration) bool {
+// isPrimaryDelegate reports whether this host is the delegate that its failure domain believes.
+func (f *fleet) isPrimaryDelegate(now time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	chosen := delegates.Choose(f.ownHosts(now))
--- a/host/entry/domains_test.go
+++ b/host/entry/domains_test.go
@@ -223,7 +223,7 @@
 }
 
 // Guards against messages that grow with the square of the fleet, against teams whose demand is cut off or counted twice, and
-// against a failure domain that is lost with the host that speaks for it.
+// against a failure domain that is lost with its delegate.
 func TestFleetHearsItsFailureDomains(t *testing.T) {
 	for _, c := range []struct {
 		hosts, teams int
--- a/host/entry/fleet.go
+++ b/host/entry/fleet.go
@@ -27,8 +27,8 @@
 	forgetAfter = time.Minute
 	// fleetKnown is the time after the start from which hosts that were not heard from are taken for gone.
 	fleetKnown = 3 * time.Second
-	// strangers is the number of hosts of other failure domains that a host greets while it knows nobody.
-	strangers = 6
+	// maxForeignGreetings is the number of hosts of other failure domains that a host greets while it knows nobody.
+	maxForeignGreetings = 6
 	// silentEvery is how many ticks pass between two messages to a host that is silent.
 	silentEvery = 4
 )
@@ -70,8 +70,8 @@
 	ticks    int
 	// number is that of the last summary.
 	number uint64
-	// spoke is set while this host is a delegate.
-	spoke bool
+	// wasDelegate is set while this host is a delegate.
+	wasDelegate bool
 }
 
 func newFleet(h *Host) *fleet {
@@ -111,7 +111,7 @@
 	if !known {
 		f.contacts[address] = failureDomain
 	}
-	alone := len(f.peers)+len(f.domains) == 0 && len(f.contacts) <= strangers
+	alone := len(f.peers)+len(f.domains) == 0 && len(f.contacts) <= maxForeignGreetings
 	f.mu.Unlock()
 	if !known && (failureDomain == "" || failureDomain == own.FailureDomain || alone) {
 		f.sendMessage([]netip.AddrPort{address})
@@ -178,7 +178,7 @@
 	known := f.summaries(now, failureDomain)
 	f.mu.Unlock()
 	f.sendTo(Packet{Host: &m}, []netip.AddrPort{address})
-	if failureDomain == f.host.settings.FailureDomain && f.speaks(now) {
+	if failureDomain == f.host.settings.FailureDomain && f.isDelegate(now) {
 		for _, packet := range known {
 			f.sendTo(packet, []netip.AddrPort{address})
 		}
@@ -193,7 +193,7 @@
 		}
 	}
 	if d := f.domains[failureDomain]; d != nil {
-		if s := d.speaker(now, f.domainSilence(failureDomain)); s != nil {
+		if s := d.primary(now, f.domainSilence(failureDomain)); s != nil {
 			for _, listed := range s.Listed {
 				addresses = append(addresses, listed.Peer)
 			}
@@ -234,7 +234,7 @@
 	now := f.host.now()
 	m := f.message(crashes)
 	addresses := f.addresses(now)
-	if f.speaks(now) {
+	if f.isDelegate(now) {
 		f.mu.Lock()
 		m.Contacts = f.contactsOf(f.host.settings.FailureDomain, now)
 		f.mu.Unlock()
@@ -246,7 +246,7 @@
 	for _, packet := range packets {
 		f.sendTo(packet, addresses)
 	}
-	f.speak(now, crashes)
+	f.advertise(now, crashes)
 }
 
 // sendMessage sends this host's message to the addresses.
@@ -328,10 +328,10 @@
 	return Starting
 }
 
-// takeCrashes takes in crashes that other hosts saw, and passes on those that are new when this host speaks for its domain.
+// takeCrashes takes in crashes that other hosts saw, and passes on those that are new when this host is a delegate.
 func (f *fleet) takeCrashes(now time.Duration, crashes []Crash) {
 	for _, crash := range crashes {
-		if f.host.suspects.heard(now, crash) && f.speaks(now) {
+		if f.host.suspects.heard(now, crash) && f.isDelegate(now) {
 			f.host.suspects.passOn(crash)
 		}
 	}
--- a/host/entry/hear.go
+++ b/host/entry/hear.go
@@ -8,26 +8,26 @@
 	"vanillatally/core/watchers"
 )
 
-// speakerOf returns the record of a delegate of another failure domain, nil when the message is of no use. The caller
+// delegateOf returns the record of a delegate of another failure domain, nil when the message is of no use. The caller
 // holds f.mu.
-func (f *fleet) speakerOf(o Origin) *speaker {
+func (f *fleet) delegateOf(o Origin) *delegate {
 	if o.FailureDomain == f.host.settings.FailureDomain || f.host.settings.Regions[o.FailureDomain] == "" || o.Host == "" {
 		return nil
 	}
 	d := f.domains[o.FailureDomain]
 	if d == nil {
-		d = &domain{speakers: map[string]*speaker{}}
+		d = &domain{delegates: map[string]*delegate{}}
 		f.domains[o.FailureDomain] = d
 	}
-	for host, s := range d.speakers {
+	for host, s := range d.delegates {
 		if f.host.now()-s.heardAt > forgetAfter {
-			delete(d.speakers, host)
+			delete(d.delegates, host)
 		}
 	}
-	s := d.speakers[o.Host]
+	s := d.delegates[o.Host]
 	if s == nil {
-		s = &speaker{}
-		d.speakers[o.Host] = s
+		s = &delegate{}
+		d.delegates[o.Host] = s
 	}
 	return s
 }
@@ -39,7 +39,7 @@
 	now := f.host.now()
 	f.mu.Lock()
 	_, heardOf := f.domains[m.FailureDomain]
-	s := f.speakerOf(m.Origin)
+	s := f.delegateOf(m.Origin)
 	if s == nil || !m.replaces(s.Summary.Origin, now-s.heardAt) {
 		f.mu.Unlock()
 		return
@@ -56,14 +56,14 @@
 	for _, listed := range m.Listed {
 		delete(f.contacts, listed.Peer)
 	}
-	believed := f.domains[m.FailureDomain].speaker(now, f.domainSilence(m.FailureDomain)) == s || m.Ends
+	believed := f.domains[m.FailureDomain].primary(now, f.domainSilence(m.FailureDomain)) == s || m.Ends
 	inside := f.neighbours(now)
 	f.mu.Unlock()
-	speaks := f.speaks(now)
-	if believed && (f.speaksFirst(now) || !speaks && !slices.Contains(inside, netip.AddrPortFrom(from.Addr().Unmap(), f.port))) {
+	delegated := f.isDelegate(now)
+	if believed && (f.isPrimaryDelegate(now) || !delegated && !slices.Contains(inside, netip.AddrPortFrom(from.Addr().Unmap(), f.port))) {
 		f.sendTo(packet, inside)
 	}
-	if !heardOf && speaks {
+	if !heardOf && delegated {
 		f.introduce(now, m)
 	}
 	f.takeCrashes(now, m.Crashes)
@@ -91,7 +91,7 @@
 			p.rates.with(now, m)
 		}
 	case m.Scope == ofDomain:
-		if s := f.speakerOf(m.Origin); s != nil && (m.replaces(s.rates.Origin, now-s.rates.heardAt) || m.Number == s.rates.Number) {
+		if s := f.delegateOf(m.Origin); s != nil && (m.replaces(s.rates.Origin, now-s.rates.heardAt) || m.Number == s.rates.Number) {
 			s.rates.with(now, m)
 		}
 	case m.FailureDomain == f.host.settings.FailureDomain:
@@ -124,13 +124,13 @@
 		return
 	}
 	now := f.host.now()
-	if !f.host.hearTrial(now, m) || !f.speaks(now) {
+	if !f.host.hearTrial(now, m) || !f.isDelegate(now) {
 		return
 	}
 	f.mu.Lock()
 	var addresses []netip.AddrPort
 	if m.FailureDomain == f.host.settings.FailureDomain {
-		addresses = f.speakersElsewhere(now)
+		addresses = f.foreignDelegates(now)
 	} else {
 		addresses = f.neighbours(now)
 	}
--- a/host/entry/members.go
+++ b/host/entry/members.go
@@ -36,7 +36,7 @@
 		}
 	}
 	for name, d := range f.domains {
-		s := d.speaker(now, f.domainSilence(name))
+		s := d.primary(now, f.domainSilence(name))
 		if s == nil {
 			continue
 		}
@@ -69,7 +69,7 @@
 		}
 	}
 	for name, d := range f.domains {
-		if s := d.speaker(now, f.domainSilence(name)); s != nil {
+		if s := d.primary(now, f.domainSilence(name)); s != nil {
 			direct[name] = int(s.Hosts)
 		}
 	}
@@ -110,7 +110,7 @@
 	spoken := 0.0
 	busy = f.ownBusy(now)
 	for name, d := range f.domains {
-		if s := d.rater(now, f.domainSilence(name)); s != nil {
+		if s := d.rateSource(now, f.domainSilence(name)); s != nil {
 			spoken += s.demand(now, team)
 			busy += int(s.Busy)
 		}
--- a/host/entry/messages.go
+++ b/host/entry/messages.go
@@ -63,7 +63,7 @@
 	Contacts []netip.AddrPort
 }
 
-// Origin says which host speaks for which failure domain. Of two messages of one process the one with the higher Number
+// Origin says which host sent a message, and for which failure domain. Of two messages of one process the one with the higher Number
 // is the newer.
 type Origin struct {
 	_             struct{} `cbor:",toarray"`
@@ -89,7 +89,7 @@
 type Summary struct {
 	_ struct{} `cbor:",toarray"`
 	Origin
-	// Ends is set when the host speaks for the domain no longer.
+	// Ends is set when the host is no longer a delegate.
 	Ends bool
 	// Hosts is the number of hosts of the domain that live, Busy that of those with requests. Listed are the first of them, the delegates before the others.
 	Hosts   uint16
--- a/host/entry/rates.go
+++ b/host/entry/rates.go
@@ -54,7 +54,7 @@
 func (f *fleet) ratesElsewhere(now time.Duration) map[uint32]uint32 {
 	sum := map[uint32]uint32{}
 	for name, d := range f.domains {
-		s := d.rater(now, f.domainSilence(name))
+		s := d.rateSource(now, f.domainSilence(name))
 		if s == nil {
 			continue
 		}
