Read, log and count the limits that backend servers state

Change: hosts parse the limit of each response (core/throttle), remember the newest statement of each server's process, and log its start, change and end (718, 719), invalid values (720) and, each 4 s, the requests that they sent to a limited server (721). A malformed value leaves what was stated before in force, one out of range counts as the nearest bound, and only the application's own response without a limit ends it. No request is handled differently yet.

--- a/host/entry/attempt.go
+++ b/host/entry/attempt.go
@@ -32,6 +32,7 @@
 	started := x.host.now()
 	s.requestStarted(started, x.affinityKey)
 	x.host.countColdRequest(v, s, started)
+	x.host.serverLimits.countRequest(s, x.routeName)
 	request := &backends.Request{HTTP: x.newServerRequest(s, timeLeft), ID: x.id, Deadline: x.deadline}
 	observation := x.host.observe(v, s, x.routeName, x.slowThreshold(s, choice))
 	response, failure := x.host.client.Do(x.context, s.Address, request)
@@ -89,6 +90,7 @@
 	// A proxy between this host and the application may have generated or changed the response.
 	fromApplication := response.Header.Get(x.host.headerNames.ApplicationMarker) != "" &&
 		response.Header.Get("Content-Encoding") == ""
+	x.host.serverLimits.recordResponse(now, s, response.Header, fromApplication)
 	if !fromApplication {
 		discardResponse(response)
 		s.recordResult(now, true)
@@ -124,6 +126,7 @@
 		return attemptResult{retryable: serverUnreachable()}
 	}
 	s.recordRefusal(now)
+	x.host.serverLimits.recordResponse(now, s, response.Header, false)
 	return attemptResult{
 		retryable: callers.Refuse(http.StatusServiceUnavailable, "shed", "the backend server is full").WithRetryAfter(shortRetryAfter),
 	}
--- a/host/entry/headers.go
+++ b/host/entry/headers.go
@@ -17,6 +17,8 @@
 	NotRun string
 	// ServerLoad is a backend server's load report, "running,waiting,slots".
 	ServerLoad string
+	// ServerLimit is the number of requests per second that a backend server takes from all hosts together.
+	ServerLimit string
 	// ApplicationMarker is set in every response of the backend server's application itself.
 	ApplicationMarker string
 	// ServerID and ColdFor are set in responses to health checks: the server's ID, and the milliseconds for which it is
--- a/host/entry/host.go
+++ b/host/entry/host.go
@@ -73,6 +73,7 @@
 	spillovers        spillovers
 	crossRegionFlow   crossRegionFlow
 	queuePressures    queuePressures
+	serverLimits      serverLimits
 
 	view     atomic.Pointer[view]
 	draining atomic.Bool
@@ -142,6 +143,7 @@
 	h.stalenessDetector = newStalenessDetector()
 	h.serviceTimes = serviceTimes{entries: map[routeServiceKey]*routeServiceTimes{}, services: map[string]*meanServiceTime{}}
 	h.teams.host = h
+	h.serverLimits = serverLimits{host: h, entries: map[incarnation]*serverLimit{}}
 	h.retryBudgets = retryBudgets{host: h, entries: map[string]retry.Budget{}}
 	h.trafficSplits.credits = map[splitKey]float64{}
 	h.regionRTTs = regionRTTs{ownRegion: o.Settings.Region, entries: map[string]time.Duration{}}
@@ -181,6 +183,7 @@
 		defer h.mu.Unlock()
 		return float64(len(h.servers))
 	})
+	h.metrics.Gauge("limited-servers", func() float64 { return float64(h.serverLimits.limited()) })
 	h.metrics.Gauge("store-reached", func() float64 {
 		if h.reachesStore() {
 			return 1
@@ -315,8 +318,8 @@
 	}
 }
 
-// maintain regularly removes unlisted servers, chooses the hosts to follow and relists stale objects, until ctx is
-// cancelled.
+// maintain regularly removes unlisted servers, chooses the hosts to follow, relists stale objects and forgets old limits of
+// servers, until ctx is cancelled.
 func (h *Host) maintain(ctx context.Context) error {
 	ticker := time.NewTicker(maintainInterval)
 	defer ticker.Stop()
@@ -328,6 +331,7 @@
 			h.expireUnlisted()
 			h.fleet.updateStoreSource(h.now())
 			h.relistStale(h.now())
+			h.serverLimits.maintain(h.now())
 		}
 	}
 }
--- a/host/entry/request_test.go
+++ b/host/entry/request_test.go
@@ -20,7 +20,7 @@
 
 var testHeaderNames = HeaderNames{
 	RequestID: "Id", TimeLeft: "Left", TeamKey: "Secret", Team: "Team", AffinityKey: "Object", ExpectedServer: "Expect-Server",
-	NotRun: "Not-Run", ServerLoad: "Load", ApplicationMarker: "Proof", ServerID: "Server", ColdFor: "Cold",
+	NotRun: "Not-Run", ServerLoad: "Load", ServerLimit: "Limit", ApplicationMarker: "Proof", ServerID: "Server", ColdFor: "Cold",
 }
 
 // backend is a backend server whose responses a test defines.
--- a/host/entry/server.go
+++ b/host/entry/server.go
@@ -36,6 +36,8 @@
 	platform.BackendServer
 	// hash identifies the server in rendezvous hashing.
 	hash uint64
+	// incarnation identifies the server's process.
+	incarnation incarnation
 	// sameRegion is set if the server is in this host's region.
 	sameRegion bool
 
@@ -65,8 +67,8 @@
 
 func newServer(listed platform.BackendServer, sameRegion bool, now time.Duration) *server {
 	s := &server{
-		BackendServer: listed, hash: placement.Hash(listed.ID), sameRegion: sameRegion, successRate: 1, slowness: 1,
-		recentKeys: map[uint64]time.Duration{},
+		BackendServer: listed, hash: placement.Hash(listed.ID), incarnation: incarnationOf(listed), sameRegion: sameRegion,
+		successRate: 1, slowness: 1, recentKeys: map[uint64]time.Duration{},
 	}
 	s.coldUntil = now + listed.ColdFor
 	return s
--- a/io/events/catalogue.go
+++ b/io/events/catalogue.go
@@ -180,6 +180,22 @@
 		717, slog.LevelInfo, "source of store objects changed",
 		"The line names the hosts from which this host takes the store's objects. If there are none, it watches the store itself.",
 	}
+	ServerLimitStated = Event{
+		718, slog.LevelInfo, "backend server states a limit",
+		"All hosts together may send the server only so many requests a second, for as long as its responses say so.",
+	}
+	ServerLimitEnded = Event{
+		719, slog.LevelInfo, "limit of a backend server ended",
+		"A response of the server itself states no limit any more.",
+	}
+	ServerLimitInvalid = Event{
+		720, slog.LevelWarn, "limit of a backend server is invalid",
+		"A malformed limit is ignored: what the server stated before stays in force. Of a limit out of range the nearest bound is used. Ask the service's owners about the value.",
+	}
+	ServerLimitUsed = Event{
+		721, slog.LevelInfo, "requests sent to a backend server with a limit",
+		"The number of requests that this host sent in the time of the line. The sum over all hosts should not exceed the limit times that time.",
+	}
 	ServerListReadFailed = Event{
 		701, slog.LevelWarn, "list of backend servers could not be read",
 		"The platform did not deliver the list. The last one stays in use.",
@@ -195,5 +211,5 @@
 	MoveStep, MoveReverted, MoveFinished, MoveRecordFailed,
 	ServerListReadFailed, StoreUnavailable, StoreRecovered, StoreObjectInvalid, ServerAdded, ServerLeaving, ServerRemoved,
 	DomainEvacuated, DomainRestored, ServerUnreachable, ServerReachable, HostRegistered, SettingsReloaded, SettingsRejected,
-	StoreViewStale, PollerRoleChanged, WatchersChanged,
+	StoreViewStale, PollerRoleChanged, WatchersChanged, ServerLimitStated, ServerLimitEnded, ServerLimitInvalid, ServerLimitUsed,
 }
