Keep all hosts together within the limit that a backend server states

Server owners saw: a server that stated a limit got as many requests as before, from hosts that had passed its statement on.

Cause: no host read the statement (hypothesis 1). Responses were passed on with a header that means nothing to callers, and the choice of a server looked at load, latency and failures only. The class: a fact that one party states to one host and that binds all hosts together, while each host acts on what it sees alone.

Change: few hosts use a server's limit, the same ones in the eyes of all (core/throttle.Part), each with a token bucket that starts empty; the others send nothing. Hosts tell each other of limits and their ends through the primary delegates. If no host hears of the server for 5 s, further hosts may send, one more each second, so that the end is noticed wherever requests arrive. A request for which all servers have reached their limits is refused at once with the time until the next token as Retry-After. Limits belong to one process of a server and outlive its absence from the list. Hosts of the earlier version decode all packets but the new kind.

Why it works: the parts of the hosts sum to the limit whatever each of them knows, and a host without a part sends nothing.

--- /dev/null
+++ b/core/throttle/sender.go
@@ -0,0 +1,53 @@
+package throttle
+
+import (
+	"time"
+
+	"vanillatally/core/share"
+)
+
+const (
+	// minPart is the number of requests per second of a limit up to which one host uses it alone. Each host that shares a limit
+	// may send a burst of its own, which would add up to more than a low limit.
+	minPart = 2.0
+	// silenceBound is the time without a statement of the server after which further hosts may send to it: the hosts that may
+	// use the limit have no requests for it, and its end would not be noticed. It exceeds the time in which hosts tell each
+	// other of a statement.
+	silenceBound = 5 * time.Second
+	// wideningInterval is the time after which another host may send while the server stays silent.
+	wideningInterval = time.Second
+	// burstTime is the time in which a host's part of a limit yields the requests that it may send at once.
+	burstTime = 500 * time.Millisecond
+)
+
+// Part returns the part of a limit that the host at position rank may use, in requests per second, or 0. All hosts rank the
+// hosts of the fleet in the same order for the server; the first preferred ones get the requests of callers near the server.
+// silence is the time since the server's last statement.
+func Part(perSecond float64, rank, preferred int, silence time.Duration) float64 {
+	sharing := min(max(int(perSecond/minPart), 1), max(preferred, 1))
+	allowed := sharing
+	if silence > silenceBound {
+		allowed += 1 + int((silence-silenceBound)/wideningInterval)
+	}
+	if rank < 0 || rank >= allowed {
+		return 0
+	}
+	return perSecond / float64(sharing)
+}
+
+// Bucket is a token bucket for one host's part of a limit. It is an immutable value.
+type Bucket struct{ tokens share.TokenBucket }
+
+// NewBucket returns an empty bucket: requests that the server got before it stated its limit count against it.
+func NewBucket(now time.Duration) Bucket { return Bucket{tokens: share.NewTokenBucket(now, 0)} }
+
+// Take takes a token for one request of a host whose part of the limit is perSecond. If there is none, wait is the time until
+// the next one.
+func (b Bucket) Take(now time.Duration, perSecond float64) (after Bucket, ok bool, wait time.Duration) {
+	capacity := max(1, perSecond*burstTime.Seconds())
+	after.tokens, ok, wait = b.tokens.Take(now, perSecond, capacity, 0)
+	return after, ok, wait
+}
+
+// Interval returns the time between two requests at a rate.
+func Interval(perSecond float64) time.Duration { return time.Duration(float64(time.Second) / perSecond) }
--- a/host/entry/choose.go
+++ b/host/entry/choose.go
@@ -11,9 +11,11 @@
 // maxCandidates bounds the number of servers that one choice considers.
 const maxCandidates = 512
 
-// chooseServer picks the server for the next attempt. It returns nil when no server may get the request.
+// chooseServer picks the server for the next attempt. It returns nil when no server may get the request. If that is because of
+// the limits that servers state, x.limitWait is the time until the first of them may get one.
 func (x *exchange) chooseServer(v *view) (chosen *server, choice placement.Choice) {
 	now := x.host.now()
+	x.limitWait = 0
 	listed := v.services[x.service]
 	spillover := x.host.spillovers.update(now, x.service, listed)
 	servers, candidates := make([]*server, 0, len(listed)), make([]placement.Candidate, 0, len(listed))
@@ -27,6 +29,9 @@
 		if !candidate.Excluded && s.isCold(now) {
 			candidate.Excluded = !x.host.fleet.ownsServer(s) || !x.host.allowsColdRequest(v, s, now)
 		}
+		if !candidate.Excluded {
+			candidate.Excluded = x.exceedsLimit(now, s)
+		}
 		servers, candidates = append(servers, s), append(candidates, candidate)
 	}
 	warmTime, coldTime, meanTime := x.serviceTimes.estimates()
@@ -94,6 +99,15 @@
 	return x.team == nil || len(x.team.Homes) == 0 || slices.Contains(x.team.Homes, s.Region)
 }
 
+// exceedsLimit reports whether the server states a limit that leaves this host no request now, and updates x.limitWait.
+func (x *exchange) exceedsLimit(now time.Duration, s *server) bool {
+	wait := x.host.serverLimits.wait(now, s)
+	if wait > 0 && (x.limitWait == 0 || wait < x.limitWait) {
+		x.limitWait = wait
+	}
+	return wait > 0
+}
+
 // allowsColdRequest reports whether the service's rate limit for cold servers lets this server get another request now.
 func (h *Host) allowsColdRequest(v *view, s *server, now time.Duration) bool {
 	rate := v.configuration.Services[s.Service].ColdRate
--- a/host/entry/fleet.go
+++ b/host/entry/fleet.go
@@ -138,6 +138,8 @@
 		f.handleDemand(packet)
 	case packet.Rollout != nil:
 		f.handleRolloutMessage(packet)
+	case packet.ServerLimits != nil:
+		f.handleLimits(packet.ServerLimits)
 	}
 }
 
@@ -185,7 +187,7 @@
 
 // answerFirstHeartbeat sends a newly discovered or restarted host this host's heartbeat, with peer addresses of hosts in the
 // receiver's failure domain. If both hosts are of the same domain and this host is a delegate, it also sends the summaries of
-// the other domains.
+// the other domains and the limits of servers.
 func (f *fleet) answerFirstHeartbeat(address netip.AddrPort, failureDomain string) {
 	heartbeat := f.newHeartbeat(nil)
 	now := f.host.now()
@@ -198,6 +200,7 @@
 		for _, packet := range known {
 			f.sendPacket(packet, []netip.AddrPort{address})
 		}
+		f.sendLimits(f.host.serverLimits.inForce(now), []netip.AddrPort{address})
 	}
 }
 
@@ -265,6 +268,7 @@
 		f.sendPacket(packet, addresses)
 	}
 	f.advertiseDomain(now, crashes)
+	f.announceLimits(now)
 }
 
 // sendHeartbeatTo sends this host's heartbeat to the addresses.
--- a/host/entry/host.go
+++ b/host/entry/host.go
@@ -183,7 +183,7 @@
 		defer h.mu.Unlock()
 		return float64(len(h.servers))
 	})
-	h.metrics.Gauge("limited-servers", func() float64 { return float64(h.serverLimits.limited()) })
+	h.metrics.Gauge("limited-servers", func() float64 { return float64(h.serverLimits.limited.Load()) })
 	h.metrics.Gauge("store-reached", func() float64 {
 		if h.reachesStore() {
 			return 1
--- a/host/entry/members.go
+++ b/host/entry/members.go
@@ -175,6 +175,32 @@
 	return best == self.Host
 }
 
+// rankForServer returns this host's position among the hosts that may use the server's limit, or -1 if it may not. The first
+// ones, preferred in number, are those that callers near the server are sent to; the other ready hosts follow. All hosts
+// rank them by rendezvous hashing.
+func (f *fleet) rankForServer(now time.Duration, s *server) (rank, preferred int) {
+	self := f.host.settings
+	near := f.lookup(s.Region, s.FailureDomain)
+	ready := f.host.ready()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !ready || now < membershipSettleTime && len(f.unconfirmedAddresses) > 0 {
+		// A host that this one has not discovered yet may use the limit.
+		return -1, len(near)
+	}
+	weight := func(address string) uint64 { return placement.RendezvousWeight(s.hash, placement.Hash(address)) }
+	ownNear, ownWeight := slices.Contains(near, self.CallerAddress), weight(self.CallerAddress)
+	if !ownNear {
+		rank = len(near)
+	}
+	for _, m := range f.members(now) {
+		if m.State == Ready && slices.Contains(near, m.CallerAddr) == ownNear && weight(m.CallerAddr) > ownWeight {
+			rank++
+		}
+	}
+	return rank, len(near)
+}
+
 // isLeader reports whether this host has the lowest name of the ready hosts.
 func (f *fleet) isLeader() bool {
 	now := f.host.now()
--- a/host/entry/messages.go
+++ b/host/entry/messages.go
@@ -4,6 +4,9 @@
 	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
 	"vanillatally/core/rollout"
 	"vanillatally/core/watchers"
 )
@@ -34,11 +37,46 @@
 
 // Packet is one datagram between hosts. Exactly one field is set. Its encoding must fit datagrams.MaxBytes.
 type Packet struct {
-	_             struct{} `cbor:",toarray"`
 	HostHeartbeat *Heartbeat
 	DomainSummary *DomainSummary
 	DemandPart    *DemandPart
 	Rollout       *RolloutMessage
+	ServerLimits  *ServerLimitsMessage
+}
+
+// packetFields is the number of fields that every version of the program encodes. Hosts of earlier versions drop packets with
+// more.
+const packetFields = 4
+
+// fields returns pointers to the fields in the order in which they are encoded.
+func (p *Packet) fields() []any {
+	return []any{&p.HostHeartbeat, &p.DomainSummary, &p.DemandPart, &p.Rollout, &p.ServerLimits}
+}
+
+// MarshalCBOR encodes the packet as an array of its fields. Later fields are left out if they are not set, so that hosts of
+// earlier versions can decode the packet.
+func (p Packet) MarshalCBOR() ([]byte, error) {
+	fields := p.fields()
+	if p.ServerLimits == nil {
+		fields = fields[:packetFields]
+	}
+	return cbor.Marshal(fields)
+}
+
+// UnmarshalCBOR decodes an array of fields. Fields of later versions are ignored.
+func (p *Packet) UnmarshalCBOR(data []byte) (err error) {
+	defer func() { err = errors.Wrap(err, "decode a packet") }()
+	var encoded []cbor.RawMessage
+	if err := cbor.Unmarshal(data, &encoded); err != nil {
+		return err
+	}
+	fields := p.fields()
+	for i := range min(len(fields), len(encoded)) {
+		if err := cbor.Unmarshal(encoded[i], fields[i]); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // Heartbeat is what a host regularly sends to the hosts of its failure domain, and to addresses where it discovers hosts. Like
@@ -164,3 +202,24 @@
 	// does no harm.
 	Counts rollout.Batch
 }
+
+// ServerLimitsMessage carries what backend servers stated about their limits. A host sends what it got from responses to the
+// primary delegate of its domain, which passes it on to the hosts of the domain and to the other domains.
+type ServerLimitsMessage struct {
+	_ struct{} `cbor:",toarray"`
+	Origin
+	// Limits holds up to limitsPerMessage statements.
+	Limits []ServerLimit
+}
+
+// ServerLimit is the newest statement of one process of a backend server.
+type ServerLimit struct {
+	_ struct{} `cbor:",toarray"`
+	// Server and Started identify the process, see incarnation.
+	Server  uint32
+	Started int64
+	// Rate is the limit in thousandths of a request per second; 0 says that the limit ended.
+	Rate uint32
+	// AgeMS is the time since the server's response, in milliseconds.
+	AgeMS uint32
+}
--- a/host/entry/probes.go
+++ b/host/entry/probes.go
@@ -97,6 +97,7 @@
 	if response.Status != http.StatusOK || response.Header.Get(h.headerNames.ServerID) != s.ID {
 		return false
 	}
+	h.serverLimits.recordResponse(h.now(), s, response.Header, false)
 	if coldFor, err := strconv.ParseInt(response.Header.Get(h.headerNames.ColdFor), 10, 64); err == nil && coldFor > 0 {
 		s.markCold(h.now(), time.Duration(coldFor)*time.Millisecond)
 	}
--- a/host/entry/request.go
+++ b/host/entry/request.go
@@ -65,6 +65,9 @@
 	server string
 	// lastServer is the server of the last attempt.
 	lastServer *server
+	// limitWait is the time after which the first server may get a request again, if the last choice found none because all
+	// servers have reached the limits that they state.
+	limitWait time.Duration
 	// expectedLatency is the estimated time until the response of the server chosen last.
 	expectedLatency time.Duration
 	status          int
@@ -247,7 +250,7 @@
 // forward sends the request to one server after the other until one answers, an attempt must not be repeated, or a limit is
 // reached.
 func (x *exchange) forward() error {
-	for try := 1; ; try++ {
+	for {
 		if (x.idempotent || x.possibleRuns == 0) && callers.Disconnected(x.r.Context()) {
 			return x.fail(callers.Refuse(statusClientClosedRequest, "caller-gone", "the caller has left"))
 		}
@@ -260,9 +263,7 @@
 		}
 		timeLeft := time.Until(x.deadline)
 		if s == nil {
-			return x.fail(callers.Refuse(
-				http.StatusServiceUnavailable, "no-backend-server", "no backend server of the service is available",
-			).WithRetryAfter(shortRetryAfter))
+			return x.fail(x.noServer())
 		}
 		verdict, wait := x.host.queuePressures.decide(x.host.now(), x.service, admission.Request{
 			ExpectedLatency: choice.ExpectedLatency, QueueWait: choice.QueueWait, TimeLeft: timeLeft,
@@ -274,7 +275,11 @@
 			return x.fail(callers.Refuse(http.StatusServiceUnavailable, string(verdict), "no backend server can answer in time").
 				WithRetryAfter(min(max(wait, shortRetryAfter), maxRetryAfter)))
 		}
-		if try > 1 && x.possibleRuns+x.triedCount() > 0 && !x.host.retryBudgets.allowRetry(x.service) {
+		if !x.host.serverLimits.take(x.host.now(), s) {
+			// Another request has used the limit since the server was chosen.
+			continue
+		}
+		if len(x.tried) > 0 && !x.host.retryBudgets.allowRetry(x.service) {
 			return x.fail(callers.Refuse(http.StatusServiceUnavailable, "retry-budget", "too many requests are being retried").
 				WithRetryAfter(shortRetryAfter))
 		}
@@ -287,14 +292,22 @@
 			return x.fail(result.final)
 		}
 		x.tried = append(x.tried, s)
-		if try == maxServersTried || x.possibleRuns >= x.maxRuns() {
+		if len(x.tried) == maxServersTried || x.possibleRuns >= x.maxRuns() {
 			return x.fail(result.retryable)
 		}
 	}
 }
 
-// triedCount returns the number of servers that were tried without success, including those that could not be reached.
-func (x *exchange) triedCount() int { return len(x.tried) }
+// noServer returns the refusal of a request for which there is no server.
+func (x *exchange) noServer() *callers.Refusal {
+	if x.limitWait > 0 {
+		x.logAttributes = append(x.logAttributes, "limit-wait", x.limitWait)
+		return callers.Refuse(http.StatusServiceUnavailable, "server-limit", "the backend servers take no more requests for now").
+			WithRetryAfter(x.limitWait)
+	}
+	return callers.Refuse(http.StatusServiceUnavailable, "no-backend-server", "no backend server of the service is available").
+		WithRetryAfter(shortRetryAfter)
+}
 
 // maxRuns returns the number of servers that may run the request.
 func (x *exchange) maxRuns() int {
--- a/host/entry/server_limits_test.go
+++ b/host/entry/server_limits_test.go
@@ -2,11 +2,18 @@
 
 import (
 	"bytes"
+	"math"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
 
 	"vanillatally/core/throttle"
+	"vanillatally/io/datagrams"
 	"vanillatally/io/events"
 )
 
@@ -63,3 +70,122 @@
 		}
 	}
 }
+
+// Guards against hosts of an earlier version that drop all packets, and against packets of a later version that are dropped.
+func TestPacketsOfOtherVersionsAreDecoded(t *testing.T) {
+	type earlierPacket struct {
+		_             struct{} `cbor:",toarray"`
+		HostHeartbeat *Heartbeat
+		DomainSummary *DomainSummary
+		DemandPart    *DemandPart
+		Rollout       *RolloutMessage
+	}
+	heartbeat := &Heartbeat{Host: "host-2", FailureDomain: "north-a"}
+	encoded, err := cbor.Marshal(Packet{HostHeartbeat: heartbeat})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var earlier earlierPacket
+	if err := cbor.Unmarshal(encoded, &earlier); err != nil || earlier.HostHeartbeat == nil || earlier.HostHeartbeat.Host != "host-2" {
+		t.Errorf("an earlier version decodes %+v, %v", earlier, err)
+	}
+	encoded, err = cbor.Marshal([]any{nil, nil, nil, nil, &ServerLimitsMessage{Limits: []ServerLimit{{Server: 7}}}, "new field"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var packet Packet
+	if err := cbor.Unmarshal(encoded, &packet); err != nil || packet.ServerLimits == nil || packet.ServerLimits.Limits[0].Server != 7 {
+		t.Errorf("a packet of a later version is decoded as %+v, %v", packet, err)
+	}
+}
+
+// Guards against messages that do not fit a datagram.
+func TestLimitsMessageFitsDatagram(t *testing.T) {
+	message := &ServerLimitsMessage{Origin: Origin{
+		FailureDomain: strings.Repeat("d", 64), Host: strings.Repeat("h", 64), Started: math.MaxInt64, Number: math.MaxUint64,
+	}}
+	for range limitsPerMessage {
+		message.Limits = append(message.Limits, ServerLimit{
+			Server: math.MaxUint32, Started: math.MaxInt64, Rate: math.MaxUint32, AgeMS: math.MaxUint32,
+		})
+	}
+	encoded, err := cbor.Marshal(Packet{ServerLimits: message})
+	if err != nil || len(encoded) > datagrams.MaxMessageBytes {
+		t.Errorf("the longest message has %d bytes, want at most %d (%v)", len(encoded), datagrams.MaxMessageBytes, err)
+	}
+}
+
+// Guards against limits from other hosts that are malformed, too old, or older than what this host knows itself.
+func TestLimitsOfOtherHostsAreChecked(t *testing.T) {
+	h := newTestHost(t, newBackend(t, answerOK))
+	key := h.listedServer("server-a").incarnation
+	receive := func(rate, ageMS uint32) {
+		h.fleet.receive(netip.MustParseAddrPort("10.0.0.9:7000"), Packet{ServerLimits: &ServerLimitsMessage{
+			Origin: Origin{FailureDomain: "north-a", Host: "host-2"},
+			Limits: []ServerLimit{{Server: key.server, Started: key.started, Rate: rate, AgeMS: ageMS}},
+		}})
+	}
+	for _, step := range []struct {
+		name        string
+		rate, ageMS uint32
+		want        float64
+	}{
+		{"ended without a limit", 0, 0, 0},
+		{"absurdly high", math.MaxUint32, 0, 0},
+		{"absurdly low", 1, 0, 0},
+		{"absurdly old", 2000, math.MaxUint32, 0},
+		{"stated", 2000, 0, 2},
+		{"older", 3000, 10_000, 2},
+		{"ended", 0, 0, 0},
+		{"stated before the end", 2000, 5000, 0},
+	} {
+		receive(step.rate, step.ageMS)
+		if got := statedLimit(h); got != step.want {
+			t.Errorf("%s: the limit is %v, want %v", step.name, got, step.want)
+		}
+	}
+}
+
+// Guards against limits that the hosts of other failure domains and regions do not learn, and against an end that they miss.
+func TestFleetLearnsLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 45, 0)
+		defer f.stop()
+		f.sendRequests(8*time.Second, 1)
+		key := incarnation{server: 7, started: 8}
+		knowing := func(perSecond float64) (n int) {
+			for _, h := range f.running {
+				h.serverLimits.mu.Lock()
+				if entry := h.serverLimits.entries[key]; entry != nil && entry.PerSecond == perSecond {
+					n++
+				}
+				h.serverLimits.mu.Unlock()
+			}
+			return n
+		}
+		for _, rate := range []float64{1.8, 0.5, 0} {
+			h := f.running[40]
+			h.serverLimits.record(h.now(), key, throttle.Statement{PerSecond: rate, At: h.now()}, fromResponse)
+			time.Sleep(3500 * time.Millisecond)
+			if got := knowing(rate); got != len(f.running) {
+				t.Errorf("%d of %d hosts know the limit of %v/s", got, len(f.running), rate)
+			}
+		}
+	})
+}
+
+// Guards against memory that grows with the servers that ever stated a limit, and against a wrong number of limits in force.
+func TestServerLimitsAreBounded(t *testing.T) {
+	h := newTestHost(t, newBackend(t, answerOK))
+	l := &h.serverLimits
+	for i := range maxServerLimits + 10 {
+		l.record(0, incarnation{server: uint32(i)}, throttle.Statement{PerSecond: 1, At: time.Duration(i + 1)}, fromResponse)
+	}
+	if len(l.entries) != maxServerLimits || l.limited.Load() != maxServerLimits || l.entries[incarnation{server: 5}] != nil {
+		t.Errorf("%d servers and %d limits are remembered, want the newest %d", len(l.entries), l.limited.Load(), maxServerLimits)
+	}
+	l.maintain(2 * forgetStatementAfter)
+	if len(l.entries) != 0 || l.limited.Load() != 0 {
+		t.Errorf("%d servers and %d limits are remembered after %v", len(l.entries), l.limited.Load(), 2*forgetStatementAfter)
+	}
+}
