Tell a restarted host the limits of servers at once, and wait longer for slow limits

Cause: limits were sent to a new host only by a delegate of its own failure domain, so that the only host of a domain learned them after a refresh; and at a limit below one request in 5 s the time between two requests counted as silence, so that further hosts sent.

Change: any delegate that a new host introduces itself to sends the limits in force; the interval of a limit's requests is added to the time after which further hosts may send.

Measured: TestRestartedHostIsToldLimits fails without the change and passes with it; TestFleetAgreesOnPartsOfLimits (45 hosts, three of them killed) passes.

--- a/core/throttle/sender.go
+++ b/core/throttle/sender.go
@@ -10,10 +10,10 @@
 	// minPart is the number of requests per second of a limit up to which one host uses it alone. Each host that shares a limit
 	// may send a burst of its own, which would add up to more than a low limit.
 	minPart = 2.0
-	// silenceBound is the time without a statement of the server after which further hosts may send to it: the hosts that may
-	// use the limit have no requests for it, and its end would not be noticed. It exceeds the time in which hosts tell each
-	// other of a statement.
-	silenceBound = 5 * time.Second
+	// silenceMargin is the time without a statement of the server, beyond the interval of its requests, after which further
+	// hosts may send to it: the hosts that may use the limit have no requests for it, and its end would not be noticed. It
+	// exceeds the time in which hosts tell each other of a statement.
+	silenceMargin = 5 * time.Second
 	// wideningInterval is the time after which another host may send while the server stays silent.
 	wideningInterval = time.Second
 	// burstTime is the time in which a host's part of a limit yields the requests that it may send at once.
@@ -26,8 +26,8 @@
 func Part(perSecond float64, rank, preferred int, silence time.Duration) float64 {
 	sharing := min(max(int(perSecond/minPart), 1), max(preferred, 1))
 	allowed := sharing
-	if silence > silenceBound {
-		allowed += 1 + int((silence-silenceBound)/wideningInterval)
+	if excess := silence - silenceMargin - Interval(perSecond); excess > 0 {
+		allowed += 1 + int(excess/wideningInterval)
 	}
 	if rank < 0 || rank >= allowed {
 		return 0
@@ -50,4 +50,6 @@
 }
 
 // Interval returns the time between two requests at a rate.
-func Interval(perSecond float64) time.Duration { return time.Duration(float64(time.Second) / perSecond) }
+func Interval(perSecond float64) time.Duration {
+	return time.Duration(float64(time.Second) / perSecond)
+}
--- a/core/throttle/sender_test.go
+++ b/core/throttle/sender_test.go
@@ -13,7 +13,7 @@
 		limit := rapid.Float64Range(MinRate, 1000).Draw(t, "limit")
 		hosts := rapid.IntRange(1, 200).Draw(t, "hosts")
 		preferred := rapid.IntRange(0, hosts).Draw(t, "preferred")
-		silence := time.Duration(rapid.Int64Range(0, int64(silenceBound)).Draw(t, "silence"))
+		silence := time.Duration(rapid.Int64Range(0, int64(silenceMargin)).Draw(t, "silence"))
 		sum := 0.0
 		for rank := range hosts {
 			sum += Part(limit, rank, preferred, silence)
@@ -32,7 +32,7 @@
 	// At 1.8 requests per second one host uses the limit alone.
 	const limit, sharing = 1.8, 1
 	for rank := sharing; rank < 20; rank++ {
-		silence := silenceBound + time.Duration(rank-sharing)*wideningInterval
+		silence := silenceMargin + Interval(limit) + time.Duration(rank-sharing)*wideningInterval
 		if Part(limit, rank, 2, silence+1) == 0 {
 			t.Errorf("host %d has no part after %v of silence", rank, silence+1)
 		}
--- a/host/entry/fleet.go
+++ b/host/entry/fleet.go
@@ -186,8 +186,8 @@
 }
 
 // answerFirstHeartbeat sends a newly discovered or restarted host this host's heartbeat, with peer addresses of hosts in the
-// receiver's failure domain. If both hosts are of the same domain and this host is a delegate, it also sends the summaries of
-// the other domains and the limits of servers.
+// receiver's failure domain. A delegate also sends the limits of servers and, to a host of its own domain, the summaries of the
+// other domains.
 func (f *fleet) answerFirstHeartbeat(address netip.AddrPort, failureDomain string) {
 	heartbeat := f.newHeartbeat(nil)
 	now := f.host.now()
@@ -196,11 +196,14 @@
 	known := f.knownSummaries(now, failureDomain)
 	f.mu.Unlock()
 	f.sendPacket(Packet{HostHeartbeat: &heartbeat}, []netip.AddrPort{address})
-	if failureDomain == f.host.settings.FailureDomain && f.isDelegate(now) {
+	if !f.isDelegate(now) {
+		return
+	}
+	f.sendLimits(f.host.serverLimits.inForce(now), []netip.AddrPort{address})
+	if failureDomain == f.host.settings.FailureDomain {
 		for _, packet := range known {
 			f.sendPacket(packet, []netip.AddrPort{address})
 		}
-		f.sendLimits(f.host.serverLimits.inForce(now), []netip.AddrPort{address})
 	}
 }
 
--- a/host/entry/server_limits_test.go
+++ b/host/entry/server_limits_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"fmt"
+	"io"
 	"math"
 	"net/http"
 	"net/netip"
@@ -189,3 +191,61 @@
 		t.Errorf("%d servers and %d limits are remembered after %v", len(l.entries), l.limited.Load(), 2*forgetStatementAfter)
 	}
 }
+
+// Guards against hosts that disagree on who may use a limit, so that its parts add up to more than the limit or to nothing,
+// also after a host has died.
+func TestFleetAgreesOnPartsOfLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 45, 0)
+		defer f.stop()
+		f.sendRequests(8*time.Second, 1)
+		check := func(when string) {
+			for i := range 60 {
+				s := &server{hash: uint64(i) * 7919}
+				s.FailureDomain = fmt.Sprint("domain-", i%9)
+				s.Region = fmt.Sprint("region-", i%3)
+				limit := []float64{0.5, 1.8, 6, 40}[i%4]
+				sum := 0.0
+				for _, h := range f.running {
+					rank, preferred := h.fleet.rankForServer(h.now(), s)
+					sum += throttle.Part(limit, rank, preferred, 0)
+				}
+				if math.Abs(sum-limit) > 1e-6 {
+					t.Errorf("%s: the parts of server %d sum to %v, want %v", when, i, sum, limit)
+				}
+			}
+		}
+		check("while all hosts run")
+		for range 3 {
+			f.kill(f.running[0])
+		}
+		f.sendRequests(5*time.Second, 1)
+		check("after three hosts died")
+	})
+}
+
+// Guards against a host that learns of limits only from its own requests after a restart, also as the only one of its domain.
+func TestRestartedHostIsToldLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 9, 0)
+		defer f.stop()
+		f.sendRequests(8*time.Second, 1)
+		key := incarnation{server: 7, started: 8}
+		teller := f.running[4]
+		teller.serverLimits.record(teller.now(), key, throttle.Statement{PerSecond: 1.8, At: teller.now()}, fromResponse)
+		time.Sleep(4 * time.Second)
+		killed := f.running[1]
+		f.kill(killed)
+		time.Sleep(time.Second)
+		again := New(Options{Settings: killed.settings, Log: events.NewLog(io.Discard, 0, "again")})
+		f.running = append(f.running, again)
+		f.start(again)
+		for _, seed := range f.running[:3] {
+			again.AddPeerAddress(seed.settings.PeerAddress, "")
+		}
+		time.Sleep(500 * time.Millisecond)
+		if again.serverLimits.limited.Load() != 1 {
+			t.Error("the restarted host does not know the limit")
+		}
+	})
+}
