Count a request to a cold server before another one can choose it

The count and the check are one step now (server.takeColdRequest, Host.reserve); a request that comes too late chooses again.

--- a/host/entry/attempt.go
+++ b/host/entry/attempt.go
@@ -31,7 +31,6 @@
 	}
 	started := x.host.now()
 	s.requestStarted(started, x.affinityKey)
-	x.host.countColdRequest(v, s, started)
 	request := &backends.Request{HTTP: x.newServerRequest(s, timeLeft), ID: x.id, Deadline: x.deadline}
 	observation := x.host.observe(v, s, x.routeName, x.slowThreshold(s, choice))
 	response, failure := x.host.client.Do(x.context, s.Address, request)
--- a/host/entry/choose.go
+++ b/host/entry/choose.go
@@ -119,12 +119,8 @@
 	return now >= s.nextColdRequestAt
 }
 
-// countColdRequest starts the pause until the next request if the server is cold.
-func (h *Host) countColdRequest(v *view, s *server, now time.Duration) {
-	rate := v.configuration.Services[s.Service].ColdRate
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if rate > 0 && now < s.coldUntil {
-		s.nextColdRequestAt = now + time.Duration(float64(time.Second)/rate)
-	}
+// reserve counts a request that is sent to the server now against the rate limit for cold servers and the limit that the server
+// states. It reports false if another request has used them up since the server was chosen.
+func (h *Host) reserve(v *view, s *server, now time.Duration) bool {
+	return s.takeColdRequest(v.configuration.Services[s.Service].ColdRate, now) && h.serverLimits.take(now, s)
 }
--- a/host/entry/request.go
+++ b/host/entry/request.go
@@ -275,8 +275,7 @@
 			return x.fail(callers.Refuse(http.StatusServiceUnavailable, string(verdict), "no backend server can answer in time").
 				WithRetryAfter(min(max(wait, shortRetryAfter), maxRetryAfter)))
 		}
-		if !x.host.serverLimits.take(x.host.now(), s) {
-			// Another request has used the limit since the server was chosen.
+		if !x.host.reserve(v, s, x.host.now()) {
 			continue
 		}
 		if len(x.tried) > 0 && !x.host.retryBudgets.allowRetry(x.service) {
--- /dev/null
+++ b/host/entry/reserve_test.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"vanillatally/core/config"
+	"vanillatally/io/platform"
+)
+
+// Guards against requests that arrive together and are all sent to a cold server before the first one is counted.
+func TestRequestsTogetherKeepToColdRate(t *testing.T) {
+	cold := newBackend(t, answerOK)
+	h := newTestHost(t, cold)
+	next := *h.configuration
+	next.Sequence, next.Services = 2, map[string]config.Service{"search": {ColdRate: 0.1, ColdFor: config.Duration(time.Minute)}}
+	team, unlimited := next.Teams["red"], 0.0
+	team.Rate = &unlimited
+	next.Teams = map[string]config.Team{"red": team}
+	next = next.WithIndex()
+	h.SetConfiguration(&next)
+	listed := h.listedServer("server-a").BackendServer
+	listed.ColdFor = time.Minute
+	h.SetServers([]platform.BackendServer{listed})
+	const rounds = 200
+	s := h.listedServer("server-a")
+	for range rounds {
+		s.mu.Lock()
+		s.nextColdRequestAt = 0
+		s.mu.Unlock()
+		var group errgroup.Group
+		for range 16 {
+			group.Go(func() error { serve(h, "/write/1", "red-key"); return nil })
+		}
+		if err := group.Wait(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := cold.requests(); got != rounds {
+		t.Errorf("the cold server got %d requests, want one in each of %d rounds", got, rounds)
+	}
+}
--- a/host/entry/server.go
+++ b/host/entry/server.go
@@ -194,6 +194,21 @@
 	return now < s.coldUntil
 }
 
+// takeColdRequest counts a request against the rate limit for cold servers, in requests per second, and reports whether it may
+// be sent. A rate of 0 is no limit.
+func (s *server) takeColdRequest(rate float64, now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if rate <= 0 || now >= s.coldUntil {
+		return true
+	}
+	if now < s.nextColdRequestAt {
+		return false
+	}
+	s.nextColdRequestAt = now + time.Duration(float64(time.Second)/rate)
+	return true
+}
+
 // markCold treats the server as cold for at least the given time.
 func (s *server) markCold(now, atLeast time.Duration) {
 	s.mu.Lock()
