--- a/host/entry/attempt.go
+++ b/host/entry/attempt.go
@@ -40,7 +40,8 @@
 	if failure != nil {
 		return x.handleFailure(observation, s, failure, now)
 	}
-	if load := response.Header.Get(x.host.headerNames.ServerLoad); load != "" {
+	// A misdirected request was answered by another server, which has taken over the address.
+	if load := response.Header.Get(x.host.headerNames.ServerLoad); load != "" && response.Status != http.StatusMisdirectedRequest {
 		s.recordLoad(now, load)
 	}
 	return x.handleResponse(observation, s, response, choice, now, now-started)
--- a/host/entry/reserve_test.go
+++ b/host/entry/reserve_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -42,3 +43,23 @@
 		t.Errorf("the cold server got %d requests, want one in each of %d rounds", got, rounds)
 	}
 }
+
+// Guards against the load report of another server that has taken over the address.
+func TestLoadOfAnotherServerIsIgnored(t *testing.T) {
+	b := newBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Load", "30,30,4")
+		w.Header().Set("Limit", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	})
+	h := newTestHost(t, b)
+	serve(h, "/write/1", "red-key")
+	s := h.listedServer("server-a")
+	s.mu.Lock()
+	outstanding := s.outstanding(h.now())
+	s.mu.Unlock()
+	if b.requests() != 1 || outstanding != 0 || statedLimit(h) != 0 {
+		t.Errorf("after %d requests the load is %v and the limit %v, want none", b.requests(), outstanding, statedLimit(h))
+	}
+	close(h.stopping)
+	_ = h.probes.Wait()
+}
