Tell all hosts that a server is cold when only one host's health check shows it

A cold server takes few requests from all hosts together. The store normally says that it is cold; while the store is away only the response to a health check does, and only the host that sent the check acted on it.

The notices travel with the limits. The time of the cold phase is bounded, so that an absurd value does not overflow.

--- a/host/entry/fleet.go
+++ b/host/entry/fleet.go
@@ -138,8 +138,8 @@
 		f.handleDemand(packet)
 	case packet.Rollout != nil:
 		f.handleRolloutMessage(packet)
-	case packet.ServerLimits != nil:
-		f.handleLimits(packet.ServerLimits)
+	case packet.ServerNotices != nil:
+		f.handleNotices(packet.ServerNotices)
 	}
 }
 
@@ -199,7 +199,7 @@
 	if !f.isDelegate(now) {
 		return
 	}
-	f.sendLimits(f.host.serverLimits.inForce(now), []netip.AddrPort{address})
+	f.sendNotices(f.host.noticesInForce(now), []netip.AddrPort{address})
 	if failureDomain == f.host.settings.FailureDomain {
 		for _, packet := range known {
 			f.sendPacket(packet, []netip.AddrPort{address})
@@ -271,7 +271,7 @@
 		f.sendPacket(packet, addresses)
 	}
 	f.advertiseDomain(now, crashes)
-	f.announceLimits(now)
+	f.announceNotices(now)
 }
 
 // sendHeartbeatTo sends this host's heartbeat to the addresses.
--- a/host/entry/host.go
+++ b/host/entry/host.go
@@ -74,6 +74,7 @@
 	crossRegionFlow   crossRegionFlow
 	queuePressures    queuePressures
 	serverLimits      serverLimits
+	coldNotices       coldNotices
 
 	view     atomic.Pointer[view]
 	draining atomic.Bool
@@ -144,6 +145,7 @@
 	h.serviceTimes = serviceTimes{entries: map[routeServiceKey]*routeServiceTimes{}, services: map[string]*meanServiceTime{}}
 	h.teams.host = h
 	h.serverLimits = serverLimits{host: h, entries: map[incarnation]*serverLimit{}}
+	h.coldNotices = coldNotices{host: h, entries: map[incarnation]*coldNotice{}}
 	h.retryBudgets = retryBudgets{host: h, entries: map[string]retry.Budget{}}
 	h.trafficSplits.credits = map[splitKey]float64{}
 	h.regionRTTs = regionRTTs{ownRegion: o.Settings.Region, entries: map[string]time.Duration{}}
--- a/host/entry/limited_server_test.go
+++ b/host/entry/limited_server_test.go
@@ -34,6 +34,8 @@
 	*backend
 	mu    sync.Mutex
 	limit string
+	// answer, if set, may answer a request instead; it reports whether it did.
+	answer func(w http.ResponseWriter, r *http.Request) bool
 }
 
 func newLimitedServer(t *testing.T) *limitedServer {
@@ -44,7 +46,9 @@
 			w.Header().Set("Limit", s.limit)
 		}
 		s.mu.Unlock()
-		answerOK(w, r)
+		if s.answer == nil || !s.answer(w, r) {
+			answerOK(w, r)
+		}
 	})
 	return s
 }
--- a/host/entry/messages.go
+++ b/host/entry/messages.go
@@ -41,7 +41,7 @@
 	DomainSummary *DomainSummary
 	DemandPart    *DemandPart
 	Rollout       *RolloutMessage
-	ServerLimits  *ServerLimitsMessage
+	ServerNotices *ServerNotices
 }
 
 // packetFields is the number of fields that every version of the program encodes. Hosts of earlier versions drop packets with
@@ -50,14 +50,14 @@
 
 // fields returns pointers to the fields in the order in which they are encoded.
 func (p *Packet) fields() []any {
-	return []any{&p.HostHeartbeat, &p.DomainSummary, &p.DemandPart, &p.Rollout, &p.ServerLimits}
+	return []any{&p.HostHeartbeat, &p.DomainSummary, &p.DemandPart, &p.Rollout, &p.ServerNotices}
 }
 
 // MarshalCBOR encodes the packet as an array of its fields. Later fields are left out if they are not set, so that hosts of
 // earlier versions can decode the packet.
 func (p Packet) MarshalCBOR() ([]byte, error) {
 	fields := p.fields()
-	if p.ServerLimits == nil {
+	if p.ServerNotices == nil {
 		fields = fields[:packetFields]
 	}
 	return cbor.Marshal(fields)
@@ -203,13 +203,14 @@
 	Counts rollout.Batch
 }
 
-// ServerLimitsMessage carries what backend servers stated about their limits. A host sends what it got from responses to the
-// primary delegate of its domain, which passes it on to the hosts of the domain and to the other domains.
-type ServerLimitsMessage struct {
+// ServerNotices carries what backend servers said to single hosts that binds all hosts together. A host sends what it got from
+// responses to the primary delegate of its domain, which passes it on to the hosts of the domain and to the other domains.
+type ServerNotices struct {
 	_ struct{} `cbor:",toarray"`
 	Origin
-	// Limits holds up to limitsPerMessage statements.
+	// Limits and Cold have up to noticesPerMessage entries together.
 	Limits []ServerLimit
+	Cold   []ColdServer
 }
 
 // ServerLimit is the newest statement of one process of a backend server.
@@ -223,3 +224,12 @@
 	// AgeMS is the time since the server's response, in milliseconds.
 	AgeMS uint32
 }
+
+// ColdServer says for how long one process of a backend server is still cold.
+type ColdServer struct {
+	_ struct{} `cbor:",toarray"`
+	// Server and Started identify the process, see incarnation.
+	Server  uint32
+	Started int64
+	LeftMS  uint32
+}
--- a/host/entry/probes.go
+++ b/host/entry/probes.go
@@ -99,7 +99,9 @@
 	}
 	h.serverLimits.recordResponse(h.now(), s, response.Header, false)
 	if coldFor, err := strconv.ParseInt(response.Header.Get(h.headerNames.ColdFor), 10, 64); err == nil && coldFor > 0 {
-		s.markCold(h.now(), time.Duration(coldFor)*time.Millisecond)
+		now := h.now()
+		left := time.Duration(min(coldFor, maxColdTime.Milliseconds())) * time.Millisecond
+		h.coldNotices.record(now, s.incarnation, now+left, fromResponse)
 	}
 	return true
 }
--- a/host/entry/server_limits.go
+++ b/host/entry/server_limits.go
@@ -56,7 +56,7 @@
 type serverLimit struct {
 	throttle.Statement
 	// source is where the statement comes from.
-	source limitSource
+	source noticeSource
 	// changeRounds is the number of heartbeat rounds in which a changed statement is still announced; announcedAt is the time of
 	// the statement that was announced last.
 	changeRounds int
@@ -70,16 +70,6 @@
 	reportedAt time.Duration
 }
 
-// limitSource tells how a host got to know a statement.
-type limitSource uint8
-
-// The sources: a response of the server, another host of this host's failure domain, and a host of another domain.
-const (
-	fromResponse limitSource = iota
-	fromOwnDomain
-	fromOtherDomain
-)
-
 // recordResponse records what a response says about the server's limit. Any response may state one. Only the application's own
 // responses end it: others may come from a proxy that does not know of it.
 func (l *serverLimits) recordResponse(now time.Duration, s *server, header http.Header, fromApplication bool) {
@@ -106,7 +96,7 @@
 }
 
 // record stores a statement of a server if it is newer than the known one.
-func (l *serverLimits) record(now time.Duration, key incarnation, statement throttle.Statement, source limitSource) {
+func (l *serverLimits) record(now time.Duration, key incarnation, statement throttle.Statement, source noticeSource) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	entry := l.entries[key]
@@ -123,7 +113,7 @@
 	if previous == statement.PerSecond {
 		return
 	}
-	entry.changeRounds = limitChangeRounds
+	entry.changeRounds = noticeRounds
 	entry.partAt = 0
 	switch {
 	case previous == 0:
@@ -170,15 +160,23 @@
 		"previous", previous, "from-response", entry.source == fromResponse)
 }
 
-// serverName returns the ID and the service of a server in the view, or empty strings.
-func (h *Host) serverName(key incarnation) (id, service string) {
+// serverOf returns the server of the view that runs as this process, or nil.
+func (h *Host) serverOf(key incarnation) *server {
 	for _, servers := range h.view.Load().services {
 		for _, s := range servers {
 			if s.incarnation == key {
-				return s.ID, s.Service
+				return s
 			}
 		}
 	}
+	return nil
+}
+
+// serverName returns the ID and the service of a server in the view, or empty strings.
+func (h *Host) serverName(key incarnation) (id, service string) {
+	if s := h.serverOf(key); s != nil {
+		return s.ID, s.Service
+	}
 	return "", ""
 }
 
--- a/host/entry/server_limits_test.go
+++ b/host/entry/server_limits_test.go
@@ -91,27 +91,27 @@
 	if err := cbor.Unmarshal(encoded, &earlier); err != nil || earlier.HostHeartbeat == nil || earlier.HostHeartbeat.Host != "host-2" {
 		t.Errorf("an earlier version decodes %+v, %v", earlier, err)
 	}
-	encoded, err = cbor.Marshal([]any{nil, nil, nil, nil, &ServerLimitsMessage{Limits: []ServerLimit{{Server: 7}}}, "new field"})
+	encoded, err = cbor.Marshal([]any{nil, nil, nil, nil, &ServerNotices{Limits: []ServerLimit{{Server: 7}}}, "new field"})
 	if err != nil {
 		t.Fatal(err)
 	}
 	var packet Packet
-	if err := cbor.Unmarshal(encoded, &packet); err != nil || packet.ServerLimits == nil || packet.ServerLimits.Limits[0].Server != 7 {
+	if err := cbor.Unmarshal(encoded, &packet); err != nil || packet.ServerNotices == nil || packet.ServerNotices.Limits[0].Server != 7 {
 		t.Errorf("a packet of a later version is decoded as %+v, %v", packet, err)
 	}
 }
 
 // Guards against messages that do not fit a datagram.
-func TestLimitsMessageFitsDatagram(t *testing.T) {
-	message := &ServerLimitsMessage{Origin: Origin{
+func TestServerNoticesFitDatagram(t *testing.T) {
+	message := &ServerNotices{Origin: Origin{
 		FailureDomain: strings.Repeat("d", 64), Host: strings.Repeat("h", 64), Started: math.MaxInt64, Number: math.MaxUint64,
 	}}
-	for range limitsPerMessage {
+	for range noticesPerMessage {
 		message.Limits = append(message.Limits, ServerLimit{
 			Server: math.MaxUint32, Started: math.MaxInt64, Rate: math.MaxUint32, AgeMS: math.MaxUint32,
 		})
 	}
-	encoded, err := cbor.Marshal(Packet{ServerLimits: message})
+	encoded, err := cbor.Marshal(Packet{ServerNotices: message})
 	if err != nil || len(encoded) > datagrams.MaxMessageBytes {
 		t.Errorf("the longest message has %d bytes, want at most %d (%v)", len(encoded), datagrams.MaxMessageBytes, err)
 	}
@@ -122,7 +122,7 @@
 	h := newTestHost(t, newBackend(t, answerOK))
 	key := h.listedServer("server-a").incarnation
 	receive := func(rate, ageMS uint32) {
-		h.fleet.receive(netip.MustParseAddrPort("10.0.0.9:7000"), Packet{ServerLimits: &ServerLimitsMessage{
+		h.fleet.receive(netip.MustParseAddrPort("10.0.0.9:7000"), Packet{ServerNotices: &ServerNotices{
 			Origin: Origin{FailureDomain: "north-a", Host: "host-2"},
 			Limits: []ServerLimit{{Server: key.server, Started: key.started, Rate: rate, AgeMS: ageMS}},
 		}})
