--- a/host/entry/domains_test.go
+++ b/host/entry/domains_test.go
@@ -25,6 +25,8 @@
 	mu sync.Mutex
 	// The fields below are guarded by mu.
 	hosts map[netip.AddrPort]*Host
+	// lose, if set, reports whether the next packet is lost.
+	lose func() bool
 	// domainBytes counts the bytes sent within failure domains, regionBytes those between failure domains of a region, and
 	// crossRegionBytes those between regions.
 	domainBytes, regionBytes, crossRegionBytes int
@@ -57,7 +59,7 @@
 	for _, address := range addresses {
 		to, delay := p.hosts[address], intraRegionDelay
 		switch {
-		case to == nil:
+		case to == nil || p.lose != nil && p.lose():
 			continue
 		case to.settings.FailureDomain == p.from.settings.FailureDomain:
 			p.domainBytes += len(encoded) + packetHeaderBytes
--- a/host/entry/limited_server_test.go
+++ b/host/entry/limited_server_test.go
@@ -227,6 +227,39 @@
 			f.restart()
 			f.run(6*time.Second, limitTestRate)
 		}},
+		{"messages between hosts are lost", 8, "1.8", func(f *limitFleet) {
+			f.lose = func() bool { return f.random.Float64() < 0.4 }
+			f.run(12*time.Second, limitTestRate)
+		}},
+		{"hosts die one after the other", 8, "1", func(f *limitFleet) {
+			for range 5 {
+				f.run(3*time.Second, limitTestRate)
+				f.kill(f.running[0])
+			}
+		}},
+		{"hosts join", 4, "1", func(f *limitFleet) {
+			for i := range 8 {
+				f.run(2*time.Second, limitTestRate)
+				f.addHost(4 + i)
+			}
+		}},
+		{"limit falls", 8, "3", func(f *limitFleet) {
+			f.run(6*time.Second, limitTestRate)
+			lowered := time.Since(f.start)
+			f.servers[0].setLimit("0.8")
+			f.run(12*time.Second, limitTestRate)
+			f.checkLimit(f.servers[0], lowered+2*time.Second, 0.8)
+		}},
+		{"limit flaps", 8, "1.8", func(f *limitFleet) {
+			for range 6 {
+				f.run(1500*time.Millisecond, limitTestRate)
+				f.servers[0].setLimit("")
+				f.run(20*time.Millisecond, limitTestRate)
+				f.servers[0].setLimit("1.8")
+			}
+			f.run(6*time.Second, limitTestRate)
+			f.checkLimit(f.servers[0], time.Since(f.start)-6*time.Second, 1.8)
+		}},
 		{"server is missing from the list for a moment", 8, "1.8", func(f *limitFleet) {
 			f.run(4*time.Second, limitTestRate)
 			for _, h := range f.running {
