--- a/host/entry/limited_server_test.go
+++ b/host/entry/limited_server_test.go
@@ -168,6 +168,14 @@
 	f.addHost(number)
 }
 
+// losePackets lets a share of the packets between hosts be lost.
+func (f *limitFleet) losePackets(share float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	random := rand.New(rand.NewPCG(13, 17))
+	f.lose = func() bool { return random.Float64() < share }
+}
+
 // checkLimit checks the requests of told hosts to the server since the time from, in each window.
 func (f *limitFleet) checkLimit(s *limitedServer, from time.Duration, perSecond float64) {
 	f.t.Helper()
@@ -228,7 +236,7 @@
 			f.run(6*time.Second, limitTestRate)
 		}},
 		{"messages between hosts are lost", 8, "1.8", func(f *limitFleet) {
-			f.lose = func() bool { return f.random.Float64() < 0.4 }
+			f.losePackets(0.4)
 			f.run(12*time.Second, limitTestRate)
 		}},
 		{"hosts die one after the other", 8, "1", func(f *limitFleet) {
