Let all hosts near a server share its limit, each with an equal part

Cause: one host for each 2 requests a second used a limit. Requests for the objects that a server has cached arrive at all hosts near it, so that those at the other hosts ran cold elsewhere while the host with the limit had tokens left.

Change: the up to four hosts that callers near the server are sent to share the limit equally; their bursts of one request each stay below what a low limit allows beside it. A host that gets a part because another one left starts with an empty bucket.

--- a/core/throttle/sender.go
+++ b/core/throttle/sender.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// minPart is the number of requests per second of a limit up to which one host uses it alone. Each host that shares a limit
-	// may send a burst of its own, which would add up to more than a low limit.
-	minPart = 2.0
+	// maxSharing bounds the hosts that share a limit. Each may send a burst of one request, and all bursts together have to be
+	// small beside a low limit.
+	maxSharing = 4
 	// silenceMargin is the time without a statement of the server, beyond the interval of its requests, after which further
 	// hosts may send to it: the hosts that may use the limit have no requests for it, and its end would not be noticed. It
 	// exceeds the time in which hosts tell each other of a statement.
@@ -24,10 +24,10 @@
 // hosts of the fleet in the same order for the server; the first preferred ones get the requests of callers near the server.
 // silence is the time since the server's last statement.
 func Part(perSecond float64, rank, preferred int, silence time.Duration) float64 {
-	sharing := min(max(int(perSecond/minPart), 1), max(preferred, 1))
+	sharing := min(max(preferred, 1), maxSharing)
 	allowed := sharing
-	if excess := silence - silenceMargin - Interval(perSecond); excess > 0 {
-		allowed += 1 + int(excess/wideningInterval)
+	if Silent(perSecond, silence) {
+		allowed += 1 + int((silence-silenceMargin-Interval(perSecond))/wideningInterval)
 	}
 	if rank < 0 || rank >= allowed {
 		return 0
@@ -35,6 +35,11 @@
 	return perSecond / float64(sharing)
 }
 
+// Silent reports whether a server has stated nothing for so long that further hosts may send to it.
+func Silent(perSecond float64, silence time.Duration) bool {
+	return silence > silenceMargin+Interval(perSecond)
+}
+
 // Bucket is a token bucket for one host's part of a limit. It is an immutable value.
 type Bucket struct{ tokens share.TokenBucket }
 
--- a/host/entry/server_limits.go
+++ b/host/entry/server_limits.go
@@ -229,7 +229,13 @@
 		return
 	}
 	rank, preferred := l.host.fleet.rankForServer(now, s)
-	entry.part, entry.partAt = throttle.Part(entry.PerSecond, rank, preferred, now-entry.At), now
+	silence := now - entry.At
+	part := throttle.Part(entry.PerSecond, rank, preferred, silence)
+	if entry.part == 0 && part > 0 && !throttle.Silent(entry.PerSecond, silence) {
+		// The hosts that used the limit until now may have sent their bursts.
+		entry.bucket = throttle.NewBucket(now)
+	}
+	entry.part, entry.partAt = part, now
 }
 
 // maintain logs the requests that were sent to servers with a limit, and forgets old statements.
