Skip late second copies of the last eight responses, not only of the previous one

Cause: a connection remembered the ID of its last request only, so that an older copy looked like another request's response.

--- a/io/backends/connection.go
+++ b/io/backends/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -50,8 +51,8 @@
 	// br and bw are nil while the connection is idle, which saves 8 KiB per idle connection.
 	br *bufio.Reader
 	bw *bufio.Writer
-	// lastRequestID is the request ID of the last exchange, whose response may arrive twice; duplicateSeen is set once it did.
-	lastRequestID string
+	// recentIDs holds the IDs of the last requests, whose responses may arrive twice; duplicateSeen is set once one did.
+	recentIDs     recentIDs
 	duplicateSeen bool
 	// exchangeGuard is set when another goroutine may abort the current exchange.
 	exchangeGuard *exchangeGuard
@@ -59,6 +60,24 @@
 	probeByte [1]byte
 }
 
+// maxRecentIDs is the number of requests of a connection whose responses are recognized when they arrive again.
+const maxRecentIDs = 8
+
+// recentIDs holds the IDs of the last maxRecentIDs requests of a connection. Requests without an ID are left out.
+type recentIDs struct {
+	ids  [maxRecentIDs]string
+	next int
+}
+
+func (r *recentIDs) add(id string) {
+	if id != "" {
+		r.ids[r.next] = id
+		r.next = (r.next + 1) % maxRecentIDs
+	}
+}
+
+func (r *recentIDs) contains(id string) bool { return id != "" && slices.Contains(r.ids[:], id) }
+
 func newConnection(netConn net.Conn, pool *Pool) (*connection, error) {
 	c := &connection{netConn: netConn, pool: pool, headerBytesLeft: -1}
 	tcp, ok := netConn.(syscall.Conn)
--- a/io/backends/exchange.go
+++ b/io/backends/exchange.go
@@ -211,8 +211,8 @@
 
 // readHeaders reads the status line and headers, skips informational (1xx) responses and checks the echoed request ID.
 func (c *Client) readHeaders(ctx context.Context, conn *connection, r *Request) (*http.Response, *Failure) {
-	previous := conn.lastRequestID
-	conn.lastRequestID = r.HTTP.Header.Get(c.options.RequestIDHeader)
+	earlier := conn.recentIDs
+	conn.recentIDs.add(r.HTTP.Header.Get(c.options.RequestIDHeader))
 	for range 5 {
 		conn.headerBytesLeft = maxHeaderBytes
 		head, err := http.ReadResponse(conn.br, r.HTTP)
@@ -227,8 +227,8 @@
 		if head.StatusCode >= 100 && head.StatusCode < 200 && head.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		if id := head.Header.Get(c.options.RequestIDHeader); id != r.ID && id != "" && id == previous {
-			// This is a duplicate of the previous response. The response of this request may still follow.
+		if id := head.Header.Get(c.options.RequestIDHeader); id != r.ID && earlier.contains(id) {
+			// This is a duplicate of an earlier response. The response of this request may still follow.
 			conn.duplicateSeen = true
 			if _, err := io.CopyN(io.Discard, head.Body, maxDuplicateBytes); !errors.Is(err, io.EOF) {
 				return nil, classify(ctx, err, true, CauseMismatch)
