Announce newer objects of the store at once, and let watchers list them before their followers

Change: a host that watches the store sends a heartbeat round at once when its objects change, to all delegates; a host that follows others waits 1 s instead of 0.5 s before it lists objects that are out of date, as its watchers pass them on.

--- a/host/entry/advertise.go
+++ b/host/entry/advertise.go
@@ -33,7 +33,7 @@
 	packets := append(f.domainPackets(now, summary, isPrimary), rollouts...)
 	demandTargets, demandUpdates := f.outsideDemandTargets(now),
 		demandPackets(summary.Origin, scopeOtherDomains, f.sumOutsideDemand(now))
-	skipSummary := !isPrimary && !resigning && len(crashes) == 0 && f.rounds%secondaryRounds != 0
+	skipSummary := !isPrimary && !resigning && !f.urgent && len(crashes) == 0 && f.rounds%secondaryRounds != 0
 	introduce := isPrimary && (f.rounds%introductionRounds == 0 || now < startupIntroductions)
 	f.mu.Unlock()
 	if skipSummary {
@@ -103,7 +103,7 @@
 }
 
 // otherDelegatesDue returns the addresses of the delegates of other failure domains that get a message in this round. In a
-// large fleet, delegates in other regions get one every crossRegionRounds rounds. Every unresponsiveHostRounds rounds, the
+// large fleet, delegates in other regions get one every crossRegionRounds rounds, unless the round is urgent. Every unresponsiveHostRounds rounds, the
 // known addresses in domains without a live delegate are added. The caller holds f.mu.
 func (f *fleet) otherDelegatesDue(now time.Duration) (addresses []netip.AddrPort) {
 	isLarge := f.knownHosts() >= largeFleet
@@ -113,7 +113,7 @@
 		d := f.domains[name]
 		primary := d.primary(now, f.domainTimeout(name))
 		reached[name] = primary != nil
-		if primary == nil || isLarge && own.Regions[name] != own.Region && f.rounds%crossRegionRounds != 0 {
+		if primary == nil || isLarge && !f.urgent && own.Regions[name] != own.Region && f.rounds%crossRegionRounds != 0 {
 			continue
 		}
 		addresses = append(addresses, primary.delegateAddresses()...)
--- a/host/entry/domains_test.go
+++ b/host/entry/domains_test.go
@@ -287,3 +287,31 @@
 		}
 	})
 }
+
+// Guards against a change of the store's objects that one region has, while the others learn only seconds later that their own
+// objects are out of date, because their watches deliver nothing.
+func TestFleetLearnsOfNewerObjectsAtOnce(t *testing.T) {
+	for _, hosts := range []int{9, 45} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(t, hosts, 0)
+				defer f.stop()
+				for _, h := range f.running {
+					h.SetDigest(Evacuations, 1, 10)
+				}
+				f.sendRequests(8*time.Second, 1)
+				const most = 300 * time.Millisecond
+				f.running[0].SetDigest(Evacuations, 2, 20)
+				time.Sleep(most)
+				for _, h := range f.running[1:] {
+					h.stalenessDetector.mu.Lock()
+					since := h.stalenessDetector.staleSince[Evacuations]
+					h.stalenessDetector.mu.Unlock()
+					if since == 0 {
+						t.Errorf("%s does not know after %v that its evacuations are out of date", h.settings.Host, most)
+					}
+				}
+			})
+		})
+	}
+}
--- a/host/entry/fleet.go
+++ b/host/entry/fleet.go
@@ -20,6 +20,8 @@
 	// is added at random.
 	heartbeatInterval = 600 * time.Millisecond
 	heartbeatJitter   = 100 * time.Millisecond
+	// minUrgentInterval is the shortest time between a heartbeat round and one that announces newer objects.
+	minUrgentInterval = 200 * time.Millisecond
 	// rolloutHeartbeatInterval replaces heartbeatInterval while a rollout is widening, so that evidence spreads quickly.
 	rolloutHeartbeatInterval = 250 * time.Millisecond
 	// hostTimeout is the time without a message after which a host counts as down: it is left out of lookups and of the
@@ -62,6 +64,8 @@
 	sender func() sender
 	// peerPort is the peer port, which is the same at every host.
 	peerPort uint16
+	// objectsChanged receives when this host, which watches the store, has newer objects.
+	objectsChanged chan struct{}
 
 	mu sync.Mutex
 	// peers holds the hosts whose heartbeats were received, by name.
@@ -76,6 +80,8 @@
 	rounds int
 	// number is the sequence number of the last message with an Origin.
 	number uint64
+	// urgent is set in a round that announces newer objects, which goes to all delegates.
+	urgent bool
 	// wasDelegate is set if this host was a delegate in the last round.
 	wasDelegate bool
 }
@@ -83,7 +89,7 @@
 func newFleet(h *Host) *fleet {
 	f := &fleet{
 		host: h, peers: map[string]*peer{}, domains: map[string]*domain{}, outsideDemand: map[string]*demandReport{},
-		unconfirmedAddresses: map[netip.AddrPort]string{},
+		unconfirmedAddresses: map[netip.AddrPort]string{}, objectsChanged: make(chan struct{}, 1),
 	}
 	f.sender = func() sender {
 		if socket := f.socket.Load(); socket != nil {
@@ -231,17 +237,25 @@
 	return addresses
 }
 
-// run sends heartbeats until ctx is cancelled.
+// run sends heartbeats until ctx is cancelled: at intervals, and when this host has newer objects of the store.
 func (f *fleet) run(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	for {
+	var lastRound time.Duration
+	for urgent := false; ; urgent = false {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-timer.C:
+		case <-f.objectsChanged:
+			urgent = true
+			if !wait(ctx, lastRound+minUrgentInterval-f.host.now()) {
+				return nil
+			}
 		}
+		lastRound = f.host.now()
 		f.updatePollerRole(f.host.now())
+		f.setUrgent(urgent)
 		f.sendHeartbeats()
 		next := heartbeatInterval
 		if f.host.isWidening() {
@@ -251,6 +265,23 @@
 	}
 }
 
+// wait waits for d, and reports whether ctx has not ended.
+func wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// setUrgent sets whether the next round announces newer objects.
+func (f *fleet) setUrgent(urgent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.urgent = urgent
+}
+
 // sendHeartbeats sends this host's state to the hosts of its failure domain and, on a delegate, the domain's summary to the
 // other domains.
 func (f *fleet) sendHeartbeats() {
--- a/host/entry/staleness.go
+++ b/host/entry/staleness.go
@@ -35,6 +35,8 @@
 	// staleGrace is the time for which another host must have had newer objects before this host lists its objects again. It
 	// covers the time until a change reaches both hosts, and the pause in which changes are batched.
 	staleGrace = 500 * time.Millisecond
+	// followerStaleGrace replaces staleGrace at a host that follows others: these list the objects first and pass them on.
+	followerStaleGrace = 2 * staleGrace
 	// minRelistInterval is the minimum time between two relists of stale objects of a kind.
 	minRelistInterval = 2 * time.Second
 )
@@ -71,12 +73,21 @@
 	return d
 }
 
-// SetDigest stores the digest of this host's objects of a kind, and the store's revision of their last change.
+// SetDigest stores the digest of this host's objects of a kind, and the store's revision of their last change. A host that
+// watches the store announces a change at once, so that others notice when their own watches deliver nothing.
 func (h *Host) SetDigest(kind ObjectKind, digest uint32, revision uint64) {
-	h.stalenessDetector.mu.Lock()
-	defer h.stalenessDetector.mu.Unlock()
-	h.stalenessDetector.digests[kind], h.stalenessDetector.revisions[kind],
-		h.stalenessDetector.staleSince[kind] = digest, revision, 0
+	if h.stalenessDetector.setDigest(kind, digest, revision) && h.storeState() == watchers.Reachable {
+		notify(h.fleet.objectsChanged)
+	}
+}
+
+// setDigest stores a digest and a revision, and reports whether the objects have changed.
+func (d *stalenessDetector) setDigest(kind ObjectKind, digest uint32, revision uint64) (changed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changed = d.digests[kind] != digest
+	d.digests[kind], d.revisions[kind], d.staleSince[kind] = digest, revision, 0
+	return changed
 }
 
 // RelistRequested receives when the objects of a kind have to be listed again.
@@ -132,12 +143,12 @@
 	}
 }
 
-// takeStale wakes the readers of the kinds that have been out of date for too long, and returns these kinds.
-func (d *stalenessDetector) takeStale(now time.Duration) (stale []ObjectKind) {
+// takeStale wakes the readers of the kinds that have been out of date for grace or longer, and returns these kinds.
+func (d *stalenessDetector) takeStale(now, grace time.Duration) (stale []ObjectKind) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for kind := range kindCount {
-		if since := d.staleSince[kind]; since > 0 && now-since >= staleGrace && now-d.relistedAt[kind] >= minRelistInterval {
+		if since := d.staleSince[kind]; since > 0 && now-since >= grace && now-d.relistedAt[kind] >= minRelistInterval {
 			d.relistedAt[kind], d.staleSince[kind] = now, 0
 			notify(d.relist[kind])
 			stale = append(stale, kind)
@@ -148,7 +159,11 @@
 
 // relistStale relists the kinds of objects that are out of date, and logs them.
 func (h *Host) relistStale(now time.Duration) {
-	for _, kind := range h.stalenessDetector.takeStale(now) {
+	grace := staleGrace
+	if len(h.FollowedWatchers()) > 0 {
+		grace = followerStaleGrace
+	}
+	for _, kind := range h.stalenessDetector.takeStale(now, grace) {
 		h.stalenessDetector.mu.Lock()
 		newerHost := h.stalenessDetector.newerHost[kind]
 		h.stalenessDetector.mu.Unlock()
