Count only demand that the other hosts can know of, while a team's demand grows near its rate

Cause: near its limit a host divided what it had just reported by what it knew of the others, whose reports take up to 2 s in a large fleet. While the demand grows each host's own figure is newer than those of the others, and the parts of all hosts summed to 1.0 to 1.5 for two seconds.

Change: near the limit a host counts the least of its reports of the last round, in a large fleet of the last two, plus what varies by chance (share.Reports, share.ForHost).

Measured: TestJumpWithLateReports passes, and at least 90% of the rate is admitted from 3 s after the jump on.

--- a/core/share/share.go
+++ b/core/share/share.go
@@ -52,28 +52,44 @@
 const warmupTime = 3 * time.Second
 
 const (
-	// Demand above jumpFactor times the demand that was last reported, plus minJump requests per second, is a jump.
+	// Demand above jumpFactor times the demand that all others know of, plus minJump requests per second, is a jump.
 	jumpFactor = 1.5
 	minJump    = 1.0
+	// jumpNearLimit is the fraction of a limit from which a jump may take the demand of all hosts to the limit before the others
+	// know of it.
+	jumpNearLimit = 0.5
 )
 
-// Demand is what a host knows of a team's requests per second: its own, what it last reported to the other hosts of that, and
-// the sum of what they reported.
-type Demand struct{ Own, Reported, Others float64 }
+// Demand is what a host knows of a team's requests per second: its own, what it last reported to the other hosts of that, what
+// all of them know of it by now, and the sum of what they reported.
+type Demand struct{ Own, Reported, Known, Others float64 }
 
 // Fleet is what a host knows of the fleet: how many hosts may be running, and how many get requests, this one included.
 type Fleet struct{ Known, Active int }
 
+// noiseDeviations is the number of standard deviations by which a Rate varies without a change of the demand.
+const noiseDeviations = 1.5
+
+// noise returns by how much a Rate of perSecond may exceed an earlier one by chance: events that arrive independently of each
+// other give it a variance of perSecond / (2 * rateTimeConstant).
+func noise(perSecond float64) float64 {
+	return noiseDeviations * math.Sqrt(perSecond/(2*rateTimeConstant.Seconds()))
+}
+
 // ForHost returns this host's share of a limit, in (0, 1], at age after its start.
 //
 // Until the other hosts' reports have arrived, a host sees no demand but its own and would take the whole limit. It therefore
 // gets at most an equal share for warmupTime.
 //
-// Near the limit and in a jump of its own demand, a host counts only the demand that it has reported. The others' demand may
-// have jumped too, and the shares of all hosts would add up to more than one.
+// Near the limit, and in a jump of its own demand that may lead there, a host counts only the demand that all others know of,
+// apart from what varies by chance; in another jump it counts only what it has reported. The others' demand may have jumped too, and the shares of all hosts would add up to more than one.
 func ForHost(age time.Duration, rate float64, d Demand, f Fleet) float64 {
 	own := d.Own
-	if d.Own+d.Others >= farBelowLimit*rate || d.Own > jumpFactor*d.Reported+minJump {
+	seen, jumps := d.Own+d.Others, d.Own > jumpFactor*d.Known+minJump
+	switch {
+	case seen >= farBelowLimit*rate, jumps && seen >= jumpNearLimit*rate:
+		own = min(own, d.Reported, d.Known+noise(d.Reported))
+	case jumps:
 		own = min(own, d.Reported)
 	}
 	share := ByDemand(rate, own, d.Others, f.Active)
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -18,19 +19,29 @@
 	starts  func(host int) time.Duration
 	// busy is the number of hosts that get requests, 0 for all.
 	busy int
+	// Reports reach the other hosts after minLag to maxLag, each pair of hosts always after the same time. assumedLag is the lag
+	// that hosts count on.
+	minLag, maxLag, assumedLag time.Duration
+}
+
+// lagBetween returns the time that a report takes from one host to another one.
+func (s scenario) lagBetween(from, to int) time.Duration {
+	const steps = 8
+	return s.minLag + (s.maxLag-s.minLag)*time.Duration((from*5+to*3)%steps)/(steps-1)
 }
 
 // simulate runs the scenario for 40 s and returns the admitted and the offered requests of each second.
 func (s scenario) simulate(seed uint64) (admitted, asked []float64) {
-	const step, report = 10 * time.Millisecond, 600 * time.Millisecond
+	const step, reportInterval = 10 * time.Millisecond, 600 * time.Millisecond
 	random := rand.New(rand.NewPCG(seed, 1))
-	rates, buckets, reported := make([]Rate, s.hosts), make([]TokenBucket, s.hosts), make([]float64, s.hosts)
+	rates, buckets, reported := make([]Rate, s.hosts), make([]TokenBucket, s.hosts), make([]Reports, s.hosts)
+	sent := make([][]report, s.hosts)
 	started := make([]time.Duration, s.hosts)
 	for i := range buckets {
 		buckets[i], started[i] = NewTokenBucket(0, s.burst/float64(s.hosts)), -time.Minute
 	}
 	start := func(host int, now time.Duration, hosts int) {
-		rates[host], reported[host], started[host] = Rate{}, 0, now
+		rates[host], reported[host], started[host] = Rate{}, Reports{}, now
 		buckets[host] = NewTokenBucket(now, InitialTokens(s.limit/float64(hosts)))
 	}
 	admitted, asked = make([]float64, 40), make([]float64, 40)
@@ -48,21 +59,24 @@
 			if s.starts != nil && now == s.starts(i) && now > 0 || s.restart > 0 && now == s.restart {
 				start(i, now, running)
 			}
-			if now%report == time.Duration(i*7%60)*step {
-				reported[i] = rates[i].At(now)
+			if now%reportInterval == time.Duration(i*7%60)*step {
+				reported[i] = reported[i].With(now, rates[i].At(now))
+				sent[i] = append(sent[i], report{now, reported[i].Latest()})
 			}
 			if random.Float64() >= s.demand(second, i)*step.Seconds() {
 				continue
 			}
 			others := 0.0
-			for j, r := range reported {
+			for j := range s.hosts {
 				if j != i {
-					others += r
+					others += received(sent[j], now-s.lagBetween(j, i))
 				}
 			}
 			own, age := rates[i].At(now), now-started[i]
 			share := ForHost(
-				age, s.limit, Demand{Own: own, Reported: reported[i], Others: others},
+				age, s.limit, Demand{
+					Own: own, Reported: reported[i].Latest(), Known: reported[i].Known(now, s.assumedLag), Others: others,
+				},
 				Fleet{Known: running, Active: cmp.Or(s.busy, running)},
 			)
 			rates[i] = rates[i].WithEvent(now)
@@ -77,6 +91,16 @@
 	return admitted, asked
 }
 
+// received returns the newest report sent at a time or before, or 0.
+func received(sent []report, at time.Duration) float64 {
+	for i := len(sent) - 1; i >= 0; i-- {
+		if sent[i].at <= at {
+			return sent[i].perSecond
+		}
+	}
+	return 0
+}
+
 // checkLimit fails the test when any 5 s have more than 110% of the admissions that the limit and burst allow, plus 20.
 func (s scenario) checkLimit(t *testing.T, name string, seed uint64) {
 	t.Helper()
@@ -236,3 +260,63 @@
 		}
 	}
 }
+
+// Guards against hosts that together admit far more than a team's rate while its demand jumps, because the others learn of a
+// host's demand up to two seconds after it was reported, and against hosts that admit far less once it no longer grows.
+func TestJumpWithLateReports(t *testing.T) {
+	const jumpAt, settled = 10, 13
+	for _, c := range []struct {
+		hosts               int
+		limit               float64
+		maxLag, assumedLag  time.Duration
+		demandBefore, after float64
+	}{
+		{24, 544, 2100 * time.Millisecond, 1400 * time.Millisecond, 0.5, 8},
+		{24, 544, 2100 * time.Millisecond, 1400 * time.Millisecond, 0.9, 3},
+		{36, 200, 2100 * time.Millisecond, 1400 * time.Millisecond, 0.5, 8},
+		{8, 30, 1300 * time.Millisecond, 700 * time.Millisecond, 0.5, 8},
+	} {
+		s := scenario{
+			hosts: c.hosts, limit: c.limit, burst: c.limit, minLag: 100 * time.Millisecond, maxLag: c.maxLag,
+			assumedLag: c.assumedLag, demand: func(second, _ int) float64 {
+				if second < jumpAt {
+					return c.demandBefore * c.limit / float64(c.hosts)
+				}
+				return c.after * c.limit / float64(c.hosts)
+			},
+		}
+		for seed := range uint64(5) {
+			s.checkLimit(t, fmt.Sprintf("%+v", c), seed)
+			admitted, _ := s.simulate(seed)
+			if got := sum(admitted[settled:]) / float64(len(admitted)-settled); got < 0.9*c.limit {
+				t.Errorf("%+v, seed %d: %.0f/s admitted after the jump, want at least 90%% of %.0f/s", c, seed, got, c.limit)
+			}
+		}
+	}
+}
+
+// Guards against reports that count before the others know them, and against a demand that counts as unknown for good.
+func TestKnownDemandIsTheLeastOfRecentReports(t *testing.T) {
+	var r Reports
+	const lag = time.Second
+	check := func(now time.Duration, want float64) {
+		t.Helper()
+		if got := r.Known(now, lag); got != want {
+			t.Errorf("at %v the others know %v/s, want %v/s", now, got, want)
+		}
+	}
+	check(0, 0)
+	r = r.With(0, 5)
+	check(lag/2, 0)
+	check(lag, 5)
+	r = r.With(lag, 9)
+	check(lag+lag/2, 5)
+	check(2*lag, 9)
+	r = r.With(2*lag, 3)
+	check(2*lag, 3)
+	for i := range 2 * maxReports {
+		r = r.With(3*lag+time.Duration(i), 7)
+	}
+	check(3*lag+time.Duration(2*maxReports), 7)
+	check(9*lag, 7)
+}
--- a/host/entry/members.go
+++ b/host/entry/members.go
@@ -88,6 +88,18 @@
 	return f.knownHosts() + len(f.unconfirmedAddresses)
 }
 
+// reportLag returns the time within which a report of demand has reached most hosts: one round and, in a large fleet, the
+// additional one between regions.
+func (f *fleet) reportLag() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rounds := 1
+	if f.knownHosts() >= largeFleet {
+		rounds = crossRegionRounds
+	}
+	return time.Duration(rounds) * (heartbeatInterval + heartbeatJitter)
+}
+
 // domainBusyHosts returns the number of hosts of this host's failure domain that get requests. This host always counts as
 // one, since the number is used for the admission of its requests. The caller holds f.mu.
 func (f *fleet) domainBusyHosts(now time.Duration) int {
--- a/host/entry/team_limits.go
+++ b/host/entry/team_limits.go
@@ -28,8 +28,8 @@
 	mu   sync.Mutex
 	// demand is the smoothed rate of the team's requests at this host.
 	demand share.Rate
-	// advertised is the demand that this host reported to the other hosts last.
-	advertised    float64
+	// reports holds the demand that this host reported to the other hosts lately.
+	reports       share.Reports
 	bucket        share.TokenBucket
 	bucketStarted bool
 }
@@ -63,11 +63,13 @@
 	limiter := t.get(limits.Name)
 	othersDemand, busy := t.host.fleet.demand(now, limiter.hash)
 	known := t.host.fleet.possibleHosts()
+	lag := t.host.fleet.reportLag()
 	limiter.mu.Lock()
 	defer limiter.mu.Unlock()
 	ownDemand := limiter.demand.At(now)
-	fraction := share.ForHost(now, limits.Rate, share.Demand{Own: ownDemand, Reported: limiter.advertised, Others: othersDemand},
-		share.Fleet{Known: known, Active: busy})
+	fraction := share.ForHost(now, limits.Rate, share.Demand{
+		Own: ownDemand, Reported: limiter.reports.Latest(), Known: limiter.reports.Known(now, lag), Others: othersDemand,
+	}, share.Fleet{Known: known, Active: busy})
 	limiter.demand = limiter.demand.WithEvent(now)
 	capacity := max(minBucketCapacity, (limits.Burst+rateSlackFraction*t.host.limits.Load().RateSlack)*fraction)
 	if !limiter.bucketStarted {
@@ -87,7 +89,7 @@
 		limiter := value.(*teamLimiter)
 		limiter.mu.Lock()
 		defer limiter.mu.Unlock()
-		if scaled := limiter.advertised * demandScale; scaled >= 1 {
+		if scaled := limiter.reports.Latest() * demandScale; scaled >= 1 {
 			rates[limiter.hash] = uint16(min(scaled, 65535))
 		}
 		return true
@@ -102,7 +104,7 @@
 		limiter := value.(*teamLimiter)
 		limiter.mu.Lock()
 		rate := limiter.demand.At(now)
-		limiter.advertised = rate
+		limiter.reports = limiter.reports.With(now, rate)
 		limiter.mu.Unlock()
 		if scaled := rate * demandScale; scaled >= 1 {
 			rates[limiter.hash] = uint16(min(scaled, 65535))
