Take caches for warm after two windows instead of one

Cause: a window of 30 requests decided alone, and each window was a new chance to find few slow ones.

--- a/core/shift/shift.go
+++ b/core/shift/shift.go
@@ -130,8 +130,11 @@
 	// Source and Destination count the requests in the window that began at Since.
 	Source, Destination rollout.Counts
 	Since               time.Duration
-	// Warm is the result of the last full window after the step.
+	// Warm is set when the last two full windows after the step found the caches warm: one window with few requests may do so
+	// by chance.
 	Warm bool
+	// lastWindowWarm is the result of the last full window after the step.
+	lastWindowWarm bool
 }
 
 // Decision is what the driving host does next. A higher share is recorded in the store before it takes effect; a lower one
@@ -251,7 +254,8 @@
 		return w
 	}
 	slow := float64(w.Destination.Slow) / float64(w.Destination.LatencySamples)
-	return CacheWarmup{Since: now, Warm: slow <= float64(w.Source.Slow)/float64(max(w.Source.LatencySamples, 1))+warmSlowMargin}
+	warm := slow <= float64(w.Source.Slow)/float64(max(w.Source.LatencySamples, 1))+warmSlowMargin
+	return CacheWarmup{Since: now, Warm: warm && w.lastWindowWarm, lastWindowWarm: warm}
 }
 
 // holdReason returns why the next step has to wait, or an empty string.
--- a/core/shift/shift_test.go
+++ b/core/shift/shift_test.go
@@ -106,6 +106,10 @@
 	return c
 }
 
+// failedSeeds holds the seeds of TestShiftsOfEveryKind that failed once. 427: with cold caches, one window of few requests found
+// them warm by chance.
+var failedSeeds = []int{427}
+
 // A shift must not exceed its cap, overload the destination, send most of its share to cold caches, rise without measurements
 // or keep a destination that is down in use, and it must be done or reverted at its deadline.
 func TestShiftsOfEveryKind(t *testing.T) {
@@ -145,7 +149,11 @@
 		{"no traffic", shift.Done, func(g *region, _ *rand.Rand, _ *config.Shift) { g.rate = 0 }},
 	} {
 		wrong, slowest, fullest := 0, 0.0, 0.0
-		for seed := range count {
+		for i := range count + len(failedSeeds) {
+			seed := i
+			if i >= count {
+				seed = failedSeeds[i-count]
+			}
 			r := rand.New(rand.NewPCG(uint64(seed)+1, uint64(k)))
 			limit := 0.2 + 0.8*r.Float64()
 			c := config.Shift{
