--- a/core/throttle/statement.go
+++ b/core/throttle/statement.go
@@ -14,11 +14,3 @@
 
 // Limited reports whether the server states a limit.
 func (s Statement) Limited() bool { return s.PerSecond > 0 }
-
-// With returns the newer one of two statements of the same server.
-func (s Statement) With(other Statement) Statement {
-	if other.At > s.At {
-		return other
-	}
-	return s
-}
