Treat a look-up without hosts as an error instead of an answer

Callers saw: when every seed answers with an empty list, the client cached it and the next request panicked (division by zero). TestLookupWithoutHostsIsAnError panicked before and passes.

--- a/io/hosts/client.go
+++ b/io/hosts/client.go
@@ -26,6 +26,9 @@
 	maxResponseBytes = 16 << 20
 )
 
+// errNoHosts: a look-up returned no hosts.
+var errNoHosts = errors.New("the look-up returned no hosts")
+
 // Host is an entry of a look-up response.
 type Host struct {
 	ID            string `json:"host"`
@@ -134,11 +137,15 @@
 // askSeeds asks the seeds in order until one returns hosts.
 func (c *Client) askSeeds(ctx context.Context, route string) (response LookupResponse, err error) {
 	query := url.Values{"route": {route}, "address": {c.clientAddress}}.Encode()
+	err = errNoHosts
 	for _, seed := range c.seedAddresses {
 		response, err = c.askSeed(ctx, "http://"+seed+"/v1/lookup?"+query)
 		if err == nil && len(response.Hosts) > 0 {
 			return response, nil
 		}
+		if err == nil {
+			err = errNoHosts
+		}
 	}
 	return response, errors.Wrapf(err, "no host answered the look-up of route %s", route)
 }
