--- a/host/configs/messages.go
+++ b/host/configs/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -46,6 +47,12 @@
 	SentMillis uint64 `cbor:"t"`
 }
 
+// age returns the age of the statement, at most FreshnessTTL: a statement that old proves nothing, and a faulty, very large age
+// would overflow.
+func (st freshnessStatement) age() time.Duration {
+	return time.Duration(min(st.AgeMillis, uint64(FreshnessTTL.Milliseconds()))) * time.Millisecond
+}
+
 type pullRequest struct {
 	After uint64 `cbor:"a"`
 }
--- a/host/configs/relay.go
+++ b/host/configs/relay.go
@@ -304,6 +304,5 @@
 	if !hasBaseline {
 		return
 	}
-	// The limit keeps the sum with a faulty, very large age from overflowing.
-	s.extendFreshness(extraDelay+min(time.Duration(st.AgeMillis)*time.Millisecond, FreshnessTTL), st.StoreContact)
+	s.extendFreshness(extraDelay+st.age(), st.StoreContact)
 }
--- a/host/entry/fleet_test.go
+++ b/host/entry/fleet_test.go
@@ -188,11 +188,11 @@
 	const at = 10 * time.Second
 	receiveNewer(at)
 	receiveSame(at + staleGrace/4)
-	if stale := r.takeStale(at + staleGrace/2, staleGrace); len(stale) != 0 {
+	if stale := r.takeStale(at+staleGrace/2, staleGrace); len(stale) != 0 {
 		t.Errorf("%v listed again while the change may still arrive", stale)
 	}
 	receiveSame(at + staleGrace/2)
-	if stale := r.takeStale(at + staleGrace, staleGrace); len(stale) != 1 || stale[0] != BackendServers {
+	if stale := r.takeStale(at+staleGrace, staleGrace); len(stale) != 1 || stale[0] != BackendServers {
 		t.Errorf("%v listed again, want the backend servers", stale)
 	}
 	select {
@@ -201,13 +201,13 @@
 		t.Error("the reader of the backend servers was not woken")
 	}
 	receiveNewer(at + staleGrace)
-	if stale := r.takeStale(at + staleGrace + minRelistInterval/2, staleGrace); len(stale) != 0 {
+	if stale := r.takeStale(at+staleGrace+minRelistInterval/2, staleGrace); len(stale) != 0 {
 		t.Errorf("%v listed again within minRelistInterval", stale)
 	}
 	h := &Host{stalenessDetector: r}
 	h.SetDigest(BackendServers, 7, 21)
 	receiveNewer(at + 2*minRelistInterval)
-	if stale := r.takeStale(at + 4*minRelistInterval, staleGrace); len(stale) != 0 {
+	if stale := r.takeStale(at+4*minRelistInterval, staleGrace); len(stale) != 0 {
 		t.Errorf("%v listed again although the newer objects are known", stale)
 	}
 }
