--- a/core/share/reports.go
+++ b/core/share/reports.go
@@ -30,8 +30,8 @@
 // Latest returns the demand that was reported last, in requests per second.
 func (r Reports) Latest() float64 { return r.entries[r.newest].perSecond }
 
-// Known returns the demand that the other hosts count at least, if a report reaches them within lag: the least of the reports that
-// may be the newest one at some of them.
+// Known returns the demand that the other hosts count at least, if a report reaches them within lag: the least of the reports
+// that may be the newest one at some of them.
 func (r Reports) Known(now, lag time.Duration) float64 {
 	if r.count == 0 {
 		return 0
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -82,7 +82,8 @@
 // gets at most an equal share for warmupTime.
 //
 // Near the limit, and in a jump of its own demand that may lead there, a host counts only the demand that all others know of,
-// apart from what varies by chance; in another jump it counts only what it has reported. The others' demand may have jumped too, and the shares of all hosts would add up to more than one.
+// apart from what varies by chance; in another jump it counts only what it has reported. The others' demand may have jumped
+// too, and the shares of all hosts would add up to more than one.
 func ForHost(age time.Duration, rate float64, d Demand, f Fleet) float64 {
 	own := d.Own
 	seen, jumps := d.Own+d.Others, d.Own > jumpFactor*d.Known+minJump
--- a/host/entry/notices.go
+++ b/host/entry/notices.go
@@ -105,7 +105,8 @@
 			f.host.log.EmitRateLimited(events.ServerLimitInvalid, message.Host, "peer", message.Host, "per-second", rate, "age", age)
 			continue
 		}
-		f.host.serverLimits.record(now, incarnation{limit.Server, limit.Started}, throttle.Statement{PerSecond: rate, At: now - age}, source)
+		statement := throttle.Statement{PerSecond: rate, At: now - age}
+		f.host.serverLimits.record(now, incarnation{limit.Server, limit.Started}, statement, source)
 	}
 	for _, cold := range message.Cold {
 		left := min(time.Duration(cold.LeftMS)*time.Millisecond, maxColdTime)
