--- a/host/entry/advertise.go
+++ b/host/entry/advertise.go
@@ -103,8 +103,8 @@
 }
 
 // otherDelegatesDue returns the addresses of the delegates of other failure domains that get a message in this round. In a
-// large fleet, delegates in other regions get one every crossRegionRounds rounds, unless the round is urgent. Every unresponsiveHostRounds rounds, the
-// known addresses in domains without a live delegate are added. The caller holds f.mu.
+// large fleet, delegates in other regions get one every crossRegionRounds rounds, unless the round is urgent. Every
+// unresponsiveHostRounds rounds, the known addresses in domains without a live delegate are added. The caller holds f.mu.
 func (f *fleet) otherDelegatesDue(now time.Duration) (addresses []netip.AddrPort) {
 	isLarge := f.knownHosts() >= largeFleet
 	own := f.host.settings
