--- a/core/throttle/sender.go
+++ b/core/throttle/sender.go
@@ -12,7 +12,7 @@
 	maxSharing = 4
 	// silenceMargin is the time without a statement of the server, beyond the interval of its requests, after which further
 	// hosts may send to it: the hosts that may use the limit have no requests for it, and its end would not be noticed. It
-	// exceeds the time in which hosts tell each other of a statement.
+	// exceeds the time in which a statement is announced to all hosts.
 	silenceMargin = 5 * time.Second
 	// wideningInterval is the time after which another host may send while the server stays silent.
 	wideningInterval = time.Second
--- a/host/entry/cold_notices.go
+++ b/host/entry/cold_notices.go
@@ -13,8 +13,8 @@
 	minColdExtension = 500 * time.Millisecond
 )
 
-// coldNotices holds what servers said of their cold phase in responses to single hosts, for the other hosts: all of them
-// together may send a cold server few requests only.
+// coldNotices holds the cold phases that servers stated in responses to single hosts. They are announced to the other hosts,
+// since all of them together may send a cold server few requests only.
 type coldNotices struct {
 	host *Host
 	mu   sync.Mutex
--- a/host/entry/limited_server_test.go
+++ b/host/entry/limited_server_test.go
@@ -176,7 +176,7 @@
 	f.lose = func() bool { return random.Float64() < share }
 }
 
-// checkLimit checks the requests of told hosts to the server since the time from, in each window.
+// checkLimit checks, in each window, the requests that the server got since the time from, from hosts that passed on a limit.
 func (f *limitFleet) checkLimit(s *limitedServer, from time.Duration, perSecond float64) {
 	f.t.Helper()
 	var counted []time.Duration
--- a/host/entry/notices.go
+++ b/host/entry/notices.go
@@ -24,7 +24,7 @@
 	maxColdTime = 10 * time.Minute
 )
 
-// noticeSource tells how a host got to know what a server said.
+// noticeSource is the origin of a notice.
 type noticeSource uint8
 
 // The sources: a response of the server, another host of this host's failure domain, and a host of another domain.
@@ -114,8 +114,8 @@
 	}
 }
 
-// announceNotices sends what servers newly said. A host tells the primary delegate of its failure domain what it got from
-// responses. The primary delegate tells the other domains what comes from its own one, and the hosts of its domain everything.
+// announceNotices sends new notices. A host sends those from responses to the primary delegate of its failure domain, which
+// forwards the notices of its own domain to the other domains, and all notices to the hosts of its domain.
 func (f *fleet) announceNotices(now time.Duration) {
 	f.mu.Lock()
 	chosen := delegates.Choose(f.domainHosts(now))
