--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -18,6 +18,9 @@
 	exitFailed = 2
 )
 
+// longestRun ends a case that takes too long.
+const longestRun = 115 * time.Second
+
 // run is one play of a case.
 type run struct {
 	*record
@@ -63,7 +66,7 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	r := &run{record: out, dir: dir, trouble: os.Getenv("TROUBLE") != "0"}
-	if r.store, err = newStore(); err != nil {
+	if r.store, err = newStore(out.note); err != nil {
 		return exitFailed, err
 	}
 	defer r.store.stop()
@@ -71,8 +74,12 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	go func() {
-		<-signals
+		select {
+		case <-signals:
+		case <-time.After(longestRun):
+		}
 		r.stopHosts()
+		_ = os.RemoveAll(dir)
 		os.Exit(exitFailed)
 	}()
 	out.note("case %s, disruption: %v", name, r.trouble)
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -138,6 +138,7 @@
 	i.mu.Lock()
 	i.arrivals[attempt] = i.run.now()
 	i.mu.Unlock()
+	i.run.note("%s reaches instance %s", attempt, i.id)
 	if i.isOverloadedCold() {
 		i.run.note("instance %s crashes: it is cold and got %d requests within a second", i.id, coldCrash)
 		i.end()
@@ -172,6 +173,7 @@
 func (i *instance) takeSlot(w http.ResponseWriter, limit <-chan time.Time) bool {
 	defer i.queued(-1)
 	if i.queued(1) > i.queue+i.slots {
+		i.run.note("instance %s rejects a request: its queue is full", i.id)
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return false
@@ -180,6 +182,7 @@
 	case i.slotsCh <- struct{}{}:
 		return true
 	case <-limit:
+		i.run.note("instance %s rejects a request: its time limit has passed in the queue", i.id)
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case <-i.ended:
@@ -205,6 +208,7 @@
 	select {
 	case <-time.After(i.work):
 	case <-limit:
+		i.run.note("instance %s: the time limit of %s has passed", i.id, attempt)
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	case <-r.Context().Done():
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -41,6 +41,8 @@
 type store struct {
 	address string
 	server  *http.Server
+	// note records what the store does.
+	note    func(format string, arguments ...any)
 	mu      sync.Mutex
 	changed chan struct{}
 	// cutAfter is the time after which a waiting watch is cut off; 0 is never.
@@ -50,13 +52,13 @@
 	history  []change
 }
 
-func newStore() (*store, error) {
+func newStore(note func(format string, arguments ...any)) (*store, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	s := &store{
-		address: listener.Addr().String(), rev: 10, objects: map[string]map[string]object{},
+		address: listener.Addr().String(), note: note, rev: 10, objects: map[string]map[string]object{},
 		changed: make(chan struct{}),
 	}
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second}
@@ -192,6 +194,7 @@
 		case <-r.Context().Done():
 			return
 		case <-cut:
+			s.note("the store cuts off a watch of %s from %s", kind, r.RemoteAddr)
 			panic(http.ErrAbortHandler)
 		case <-timer.C:
 			timedOut = true
