Log unanswered requests and the crashes that count against them

Neither logs nor metrics tell why.

Hypotheses: (1) the crash is never counted, because it counts only if a later connection is refused and nobody connects in time; (2) it is counted and removed again, by an answer of the next process; (3) it is counted at one host only and the others do not learn of it.

They tell the hypotheses apart: 504 without 505 is (1), 505 at one host only is (3), 505 and no refusal later is (2).

No behaviour changes. Tests of io/events and host/entry pass.

--- a/host/entry/attempt.go
+++ b/host/entry/attempt.go
@@ -67,6 +67,7 @@
 		s.recordResult(now, true)
 		return attemptResult{final: deadlineExceeded()}
 	case backends.CauseClosed, backends.CauseTruncated, backends.CauseSilent:
+		x.logUnanswered(s, failure.Cause)
 		x.host.crashTracker.recordUnanswered(now, s.ID, x.fingerprint)
 	}
 	observation.record(false, true)
--- a/host/entry/crash_tracker.go
+++ b/host/entry/crash_tracker.go
@@ -61,8 +61,8 @@
 }
 
 // recordDown records that a server refuses connections, and counts a crash against each request that it left unanswered within
-// unansweredTTL.
-func (t *crashTracker) recordDown(now time.Duration, server string) {
+// unansweredTTL. It returns the crashes.
+func (t *crashTracker) recordDown(now time.Duration, server string) (crashes []Crash) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	key := hash32(server)
@@ -71,9 +71,11 @@
 			crash := Crash{Fingerprint: request.fingerprint, Server: key}
 			t.add(now, crash)
 			t.announcements[crash] = crashAnnouncements
+			crashes = append(crashes, crash)
 		}
 	}
 	delete(t.unanswered, key)
+	return crashes
 }
 
 // recordAnswer records that a server answered a request sent at started. The server was running at that time, so the requests
--- a/host/entry/fleet.go
+++ b/host/entry/fleet.go
@@ -388,7 +388,11 @@
 // handleCrashes records crashes that other hosts observed. A delegate also announces the new ones.
 func (f *fleet) handleCrashes(now time.Duration, crashes []Crash) {
 	for _, crash := range crashes {
-		if f.host.crashTracker.recordReported(now, crash) && f.isDelegate(now) {
+		if !f.host.crashTracker.recordReported(now, crash) {
+			continue
+		}
+		f.host.logCrash(crash, "", "reported")
+		if f.isDelegate(now) {
 			f.host.crashTracker.announce(crash)
 		}
 	}
--- a/io/events/catalogue.go
+++ b/io/events/catalogue.go
@@ -100,6 +100,14 @@
 		503, slog.LevelInfo, "log lines omitted",
 		"There were too many lines of one event and reason in a second, or the log's reader was too slow. The line says how many are missing. Metrics count all events.",
 	}
+	AttemptUnanswered = Event{
+		504, slog.LevelInfo, "backend server left a request unanswered",
+		"The connection broke before the response was complete. The line gives the request's id and the fingerprint that copies of the request share.",
+	}
+	CrashCounted = Event{
+		505, slog.LevelWarn, "crash counts against a request",
+		"A backend server that left the request unanswered has crashed. The line gives the evidence, or the host that reported the crash. After two crashes the request is quarantined.",
+	}
 	MoveStep = Event{
 		600, slog.LevelInfo, "share or phase of a move changed",
 		"A rollout or shift reached another step; the line gives its new state.",
@@ -207,7 +215,7 @@
 	HostStarting, HostReady, HostDraining, HostStopped, DrainTimedOut, ComponentFailed,
 	ConfigApplied, ConfigChanged, ConfigInvalid, ConfigStale,
 	MemberChanged, LedgerChanged, LeaseExpired, PeerRejected, LedgerLeaveFailed, PeerStateChanged, PeerSendFailed,
-	RequestRefused, RequestQuarantined, RequestServed, LinesOmitted,
+	RequestRefused, RequestQuarantined, RequestServed, LinesOmitted, AttemptUnanswered, CrashCounted,
 	MoveStep, MoveReverted, MoveFinished, MoveRecordFailed,
 	ServerListReadFailed, StoreUnavailable, StoreRecovered, StoreObjectInvalid, ServerAdded, ServerLeaving, ServerRemoved,
 	DomainEvacuated, DomainRestored, ServerUnreachable, ServerReachable, HostRegistered, SettingsReloaded, SettingsRejected,
