Find out at once whether a request crashed a server, and count crashes in sequence

A request that crashes each server that runs it reached servers 26 times later than 4 s after the third crash (3 allowed); 15 requests of another team were lost with the servers.

Cause: a crash counted only if the host that lost the response found the address refusing connections within 5 s. It prefers other servers after the failure, so nobody connected in time. Evidence: the run with the new events has 41 lines of event 504 (unanswered) and none of 505 (crash counted). Ruled out: a crash that is counted and removed again, and one that is known at one host only; both would show 505.

A refused connection, another server at the address, a later process in the list and the report of another host are evidence; a timeout, or a server that is leaving, is not. A response that breaks off after its head counts too. Only crashes in sequence count, so that popular requests that ran at several servers when these crashed together are not refused. Quarantined requests are announced at once, repeated by delegates, and given to restarted hosts. A request with one crash gets no second server after another broken connection. The field Server of a reported crash carries the number of crashes now; hashes that earlier versions send count as one.

--- a/host/entry/answer.go
+++ b/host/entry/answer.go
@@ -43,6 +43,7 @@
 		x.recordIncompleteResponse(err)
 		return errResponseAborted
 	}
+	x.host.crashTracker.recordAnswer(x.host.now(), x.lastServer.Address, x.fingerprint, x.attemptStarted)
 	return nil
 }
 
@@ -50,8 +51,13 @@
 // because the caller closed the connection.
 func (x *exchange) recordIncompleteResponse(err error) {
 	var failure *backends.Failure
-	if errors.As(err, &failure) && failure.Cause != backends.CauseCancelled {
-		x.lastServer.recordResult(x.host.now(), true)
+	if !errors.As(err, &failure) || failure.Cause == backends.CauseCancelled {
+		return
+	}
+	now := x.host.now()
+	x.lastServer.recordResult(now, true)
+	if failure.Cause == backends.CauseTruncated {
+		x.recordUnanswered(x.lastServer, failure.Cause, now)
 	}
 }
 
--- a/host/entry/attempt.go
+++ b/host/entry/attempt.go
@@ -30,6 +30,7 @@
 		return attemptResult{final: deadlineExceeded()}
 	}
 	started := x.host.now()
+	x.attemptStarted = started
 	s.requestStarted(started, x.affinityKey)
 	request := &backends.Request{HTTP: x.newServerRequest(s, timeLeft), ID: x.id, Deadline: x.deadline}
 	observation := x.host.observe(v, s, x.routeName, x.slowThreshold(s, choice))
@@ -54,7 +55,7 @@
 	x.host.metrics.Count("attempt-failures", "", x.routeName, `cause="`+string(failure.Cause)+`"`, 1)
 	if !failure.Sent {
 		if failure.Cause == backends.CauseDial {
-			x.host.markServerDown(s, now)
+			x.host.recordDialFailure(s, failure, now)
 		}
 		return attemptResult{retryable: serverUnreachable()}
 	}
@@ -67,15 +68,17 @@
 		s.recordResult(now, true)
 		return attemptResult{final: deadlineExceeded()}
 	case backends.CauseClosed, backends.CauseTruncated, backends.CauseSilent:
-		x.logUnanswered(s, failure.Cause)
-		x.host.crashTracker.recordUnanswered(now, s.ID, x.fingerprint)
+		x.recordUnanswered(s, failure.Cause, now)
 	}
 	observation.record(false, true)
 	s.recordResult(now, true)
-	return attemptResult{
-		retryable: callers.Refuse(http.StatusBadGateway, string(failure.Cause), "the backend server gave no whole response").
-			WithRan(callers.RunUnknown),
+	refusal := callers.Refuse(http.StatusBadGateway, string(failure.Cause), "the backend server gave no whole response").
+		WithRan(callers.RunUnknown)
+	if x.host.crashTracker.isSuspect(x.fingerprint) {
+		// The request has crashed a server before, and probably this one too.
+		return attemptResult{final: refusal}
 	}
+	return attemptResult{retryable: refusal}
 }
 
 // handleResponse decides whether a response goes to the caller, and updates the server's statistics with it.
@@ -100,7 +103,9 @@
 				WithRan(callers.RunUnknown),
 		}
 	}
-	x.host.crashTracker.recordAnswer(s.ID, x.fingerprint, now-elapsed)
+	if response.RemainingBody == nil {
+		x.host.crashTracker.recordAnswer(now, s.Address, x.fingerprint, x.attemptStarted)
+	}
 	failed := response.Status >= http.StatusInternalServerError
 	s.recordResult(now, failed)
 	timedOut := response.Status == http.StatusGatewayTimeout
@@ -122,6 +127,7 @@
 	x.host.metrics.Count("attempts-not-run", "", x.routeName, `status="`+strconv.Itoa(response.Status)+`"`, 1)
 	if response.Status == http.StatusMisdirectedRequest {
 		// The address belongs to another server by now; the list of servers is out of date.
+		x.host.recordGone(s, now, addressTakenOver)
 		x.host.markServerDown(s, now)
 		return attemptResult{retryable: serverUnreachable()}
 	}
--- a/host/entry/crash_tracker.go
+++ b/host/entry/crash_tracker.go
@@ -1,173 +1,277 @@
 package entry
 
 import (
+	"slices"
 	"sync"
 	"time"
+
+	"vanillatally/core/quarantine"
 )
 
 const (
-	// quarantineCrashes is the number of servers after whose crash a request is refused.
+	// quarantineCrashes is the number of crashes in sequence after which a request is refused.
 	quarantineCrashes = 2
-	// crashTTL is the time for which a crash counts against a request.
+	// crashTTL is the time for which a request is refused after its last crash. A request that crashes a server again after that
+	// time is refused again at once: its history is kept for as long once more.
 	crashTTL = 2 * time.Minute
-	// unansweredTTL is the time for which an unanswered request may be the cause of a server being down.
+	// unansweredTTL is the time for which an unanswered request may be the cause of a crash that becomes known later.
 	unansweredTTL = 5 * time.Second
-	// maxTrackedRequests bounds the number of tracked requests; beyond it the oldest one is dropped.
+	// maxTrackedRequests bounds the requests with a history; beyond it the one that changed first is dropped.
 	maxTrackedRequests = 512
+	// maxUnansweredPerServer bounds the unanswered requests that are kept for a server; further ones are not kept.
+	maxUnansweredPerServer = 64
 	// crashAnnouncements is the number of messages that announce a crash to other hosts, since messages may be lost.
 	crashAnnouncements = 6
 )
 
-// Crash reports that a request was running at a server that crashed. Server is the hash of the server's ID.
+// Crash reports that servers crashed while they ran a request.
 type Crash struct {
 	_           struct{} `cbor:",toarray"`
 	Fingerprint uint64
-	Server      uint32
+	// Number is the number of crashes in sequence, at most quarantineCrashes. Earlier versions of the program send a hash of the
+	// server's ID here, which counts as one crash.
+	Number uint32
 }
 
-// crashTracker finds requests that crash the servers that run them. A crash counts against a request if its connection broke
-// without a response, and the server was found down before it answered another request.
+// crashTracker finds requests that crash the servers that run them. A request is a possible cause if its connection broke before
+// the response was complete. The crash counts if the server, before it answered another request, refuses a connection, another
+// process answers at its address, or the list names a later process.
 type crashTracker struct {
 	mu sync.Mutex
-	// unanswered holds the requests whose connection broke, by server.
-	unanswered map[uint32][]unansweredRequest
-	// crashedServers holds the servers that crashed while they ran a request, with the time, by request.
-	crashedServers map[uint64]map[uint32]time.Duration
-	// announcements holds the crashes to announce to other hosts, with the number of messages left.
-	announcements map[Crash]int
+	// unanswered holds the requests whose connection broke within unansweredTTL, by the server's address.
+	unanswered map[string][]unansweredRequest
+	// histories holds the crashes of at most maxTrackedRequests requests, by fingerprint.
+	histories map[uint64]quarantine.History
+	// announcements holds the requests whose crashes are announced to other hosts, with the number of messages left.
+	announcements map[uint64]int
 }
 
-// unansweredRequest is a request whose connection broke at the given time.
+// unansweredRequest is a request whose connection broke at the end of its run.
 type unansweredRequest struct {
 	fingerprint uint64
-	at          time.Duration
+	run         quarantine.Run
+	// process is the server's process that got the request.
+	process incarnation
+	// serverAnswered is set once the server answered a request that was sent later. Only a later process of the server shows
+	// then that the server has crashed: it may be that process that answered.
+	serverAnswered bool
 }
 
-// recordUnanswered records that the connection of a request broke without a response.
-func (t *crashTracker) recordUnanswered(now time.Duration, server string, fingerprint uint64) {
+func newCrashTracker() crashTracker {
+	return crashTracker{
+		unanswered: map[string][]unansweredRequest{}, histories: map[uint64]quarantine.History{}, announcements: map[uint64]int{},
+	}
+}
+
+// recordUnanswered records that the connection of a request broke at the end of run, before the response was complete.
+func (t *crashTracker) recordUnanswered(s *server, fingerprint uint64, run quarantine.Run) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	key := hash32(server)
-	kept := t.unanswered[key][:0]
-	for _, request := range t.unanswered[key] {
-		if now-request.at < unansweredTTL {
-			kept = append(kept, request)
-		}
-	}
-	if len(kept) < maxTrackedRequests/8 {
-		kept = append(kept, unansweredRequest{fingerprint, now})
+	if len(t.unanswered[s.Address]) < maxUnansweredPerServer {
+		t.unanswered[s.Address] = append(t.unanswered[s.Address],
+			unansweredRequest{fingerprint: fingerprint, run: run, process: s.incarnation})
 	}
-	t.unanswered[key] = kept
 }
 
-// recordDown records that a server refuses connections, and counts a crash against each request that it left unanswered within
-// unansweredTTL. It returns the crashes.
-func (t *crashTracker) recordDown(now time.Duration, server string) (crashes []Crash) {
+// hasUnanswered reports whether the server at the address left a request unanswered and has answered none since.
+func (t *crashTracker) hasUnanswered(address string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	key := hash32(server)
-	for _, request := range t.unanswered[key] {
-		if now-request.at < unansweredTTL {
-			crash := Crash{Fingerprint: request.fingerprint, Server: key}
-			t.add(now, crash)
-			t.announcements[crash] = crashAnnouncements
-			crashes = append(crashes, crash)
-		}
-	}
-	delete(t.unanswered, key)
-	return crashes
+	return slices.ContainsFunc(t.unanswered[address], func(r unansweredRequest) bool { return !r.serverAnswered })
+}
+
+// recordGone records that the server at the address has ended, and counts a crash against each request that it left unanswered
+// since its last answer. It returns the crashes that are new.
+func (t *crashTracker) recordGone(now time.Duration, address string) []Crash {
+	return t.countCrashes(now, address, func(r unansweredRequest) bool { return !r.serverAnswered })
 }
 
-// recordAnswer records that a server answered a request sent at started. The server was running at that time, so the requests
-// that it had left unanswered by then did not crash it.
-func (t *crashTracker) recordAnswer(server string, fingerprint uint64, started time.Duration) {
+// recordProcess records that a process of a server started at the address. A crash counts against each request that an earlier
+// process left unanswered. It returns the crashes that are new.
+func (t *crashTracker) recordProcess(now time.Duration, address string, process incarnation) []Crash {
+	return t.countCrashes(now, address, func(r unansweredRequest) bool { return r.process != process })
+}
+
+// countCrashes counts a crash against the unanswered requests of the address for which crashed returns true.
+func (t *crashTracker) countCrashes(
+	now time.Duration, address string, crashed func(unansweredRequest) bool,
+) (crashes []Crash) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.crashedServers, fingerprint)
-	key := hash32(server)
-	kept := t.unanswered[key][:0]
-	for _, request := range t.unanswered[key] {
-		if request.at > started {
+	var kept []unansweredRequest
+	for _, request := range t.unanswered[address] {
+		switch {
+		case now-request.run.Ended >= unansweredTTL:
+		case !crashed(request):
 			kept = append(kept, request)
+		default:
+			crash, isNew := t.update(request.fingerprint, func(h quarantine.History) quarantine.History {
+				return h.WithRun(now, request.run)
+			})
+			if isNew {
+				t.announcements[request.fingerprint] = crashAnnouncements
+				crashes = append(crashes, crash)
+			}
 		}
 	}
-	if len(kept) == 0 {
-		delete(t.unanswered, key)
+	t.setUnanswered(address, kept)
+	return crashes
+}
+
+func (t *crashTracker) setUnanswered(address string, requests []unansweredRequest) {
+	if len(requests) == 0 {
+		delete(t.unanswered, address)
 		return
 	}
-	t.unanswered[key] = kept
+	t.unanswered[address] = requests
+}
+
+// update changes the history of a request, and reports whether the number of its crashes has grown. The caller holds t.mu.
+func (t *crashTracker) update(
+	fingerprint uint64, change func(quarantine.History) quarantine.History,
+) (crash Crash, isNew bool) {
+	before, known := t.histories[fingerprint]
+	if !known && len(t.histories) >= maxTrackedRequests {
+		t.evictOldest()
+	}
+	after := change(before)
+	t.histories[fingerprint] = after
+	return newCrash(fingerprint, after), after.Crashes() > before.Crashes()
 }
 
-// recordReported records a crash that another host observed, and reports whether it is new.
-func (t *crashTracker) recordReported(now time.Duration, crash Crash) (isNew bool) {
+func newCrash(fingerprint uint64, history quarantine.History) Crash {
+	return Crash{Fingerprint: fingerprint, Number: uint32(min(history.Crashes(), quarantineCrashes))}
+}
+
+// recordAnswer records that the server at the address answered a request sent at started. The server was running at that time, so
+// that the requests that it had left unanswered by then did not crash it.
+func (t *crashTracker) recordAnswer(now time.Duration, address string, fingerprint uint64, started time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	_, known := t.crashedServers[crash.Fingerprint][crash.Server]
-	t.add(now, crash)
-	return !known
+	if history, known := t.histories[fingerprint]; known && history.Crashes() > 0 {
+		t.histories[fingerprint] = history.WithAnswer(now)
+		delete(t.announcements, fingerprint)
+	}
+	for i, request := range t.unanswered[address] {
+		if request.run.Ended <= started {
+			t.unanswered[address][i].serverAnswered = true
+		}
+	}
 }
 
-// announce adds a crash that another host observed to the next announcements.
-func (t *crashTracker) announce(crash Crash) {
+// recordReported records crashes that another host reported, and reports whether their number is new.
+func (t *crashTracker) recordReported(now time.Duration, reported Crash) (crash Crash, isNew bool) {
+	number := int(reported.Number)
+	if number > quarantineCrashes {
+		number = 1
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.announcements) < maxTrackedRequests {
-		t.announcements[crash] = crashAnnouncements
-	}
+	return t.update(reported.Fingerprint, func(h quarantine.History) quarantine.History { return h.WithReport(now, number) })
 }
 
-func (t *crashTracker) add(now time.Duration, crash Crash) {
-	servers := t.crashedServers[crash.Fingerprint]
-	if servers == nil {
-		if len(t.crashedServers) >= maxTrackedRequests {
-			t.evictOldest()
-		}
-		servers = map[uint32]time.Duration{}
-		t.crashedServers[crash.Fingerprint] = servers
+// announce adds the crashes of a request to the next announcements.
+func (t *crashTracker) announce(fingerprint uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.announcements) < maxTrackedRequests {
+		t.announcements[fingerprint] = crashAnnouncements
 	}
-	servers[crash.Server] = now
 }
 
+// evictOldest drops the history that changed first. The caller holds t.mu.
 func (t *crashTracker) evictOldest() {
-	var oldestRequest uint64
-	var oldestTime time.Duration
-	for fingerprint, servers := range t.crashedServers {
-		for _, at := range servers {
-			if oldestRequest == 0 || at < oldestTime {
-				oldestRequest, oldestTime = fingerprint, at
-			}
+	var oldest uint64
+	first := true
+	for fingerprint, history := range t.histories {
+		if first || history.ChangedAt() < t.histories[oldest].ChangedAt() {
+			oldest, first = fingerprint, false
 		}
 	}
-	delete(t.crashedServers, oldestRequest)
+	delete(t.histories, oldest)
 }
 
 // isQuarantined reports whether the request crashed too many servers to be run again.
 func (t *crashTracker) isQuarantined(now time.Duration, fingerprint uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	servers := t.crashedServers[fingerprint]
-	for crashed, at := range servers {
-		if now-at > crashTTL {
-			delete(servers, crashed)
-		}
-	}
-	return len(servers) >= quarantineCrashes
+	history, known := t.histories[fingerprint]
+	return known && isInForce(now, history)
+}
+
+func isInForce(now time.Duration, history quarantine.History) bool {
+	return history.Crashes() >= quarantineCrashes && now-history.ChangedAt() <= crashTTL
+}
+
+// isSuspect reports whether a server crashed while it ran the request and none has answered it since.
+func (t *crashTracker) isSuspect(fingerprint uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	history, known := t.histories[fingerprint]
+	return known && history.Crashes() > 0
 }
 
-// takeAnnouncements returns the crashes to announce in the next message.
-func (t *crashTracker) takeAnnouncements() (crashes []Crash) {
+// takeAnnouncements returns the crashes to announce in the next message. With refresh set, it adds quarantined requests that are
+// no longer announced, for hosts that missed the announcements.
+func (t *crashTracker) takeAnnouncements(now time.Duration, refresh bool) (crashes []Crash) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for crash, left := range t.announcements {
-		crashes = append(crashes, crash)
+	for fingerprint, left := range t.announcements {
+		if len(crashes) == maxCrashes {
+			return crashes
+		}
+		if crash := newCrash(fingerprint, t.histories[fingerprint]); crash.Number > 0 {
+			crashes = append(crashes, crash)
+		}
 		if left <= 1 {
-			delete(t.announcements, crash)
+			delete(t.announcements, fingerprint)
 		} else {
-			t.announcements[crash] = left - 1
+			t.announcements[fingerprint] = left - 1
 		}
-		if len(crashes) == maxCrashes {
+	}
+	if refresh {
+		for _, crash := range t.inForce(now, maxCrashes-len(crashes)) {
+			if !slices.Contains(crashes, crash) {
+				crashes = append(crashes, crash)
+			}
+		}
+	}
+	return crashes
+}
+
+// quarantined returns the crashes of the requests that are quarantined, at most maxCrashes.
+func (t *crashTracker) quarantined(now time.Duration) []Crash {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.inForce(now, maxCrashes)
+}
+
+// inForce returns the crashes of up to limit quarantined requests, in random order. The caller holds t.mu.
+func (t *crashTracker) inForce(now time.Duration, limit int) (crashes []Crash) {
+	for fingerprint, history := range t.histories {
+		if len(crashes) == limit {
 			break
 		}
+		if isInForce(now, history) {
+			crashes = append(crashes, newCrash(fingerprint, history))
+		}
 	}
 	return crashes
 }
+
+// maintain drops unanswered requests after unansweredTTL, and histories after twice crashTTL.
+func (t *crashTracker) maintain(now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for address, requests := range t.unanswered {
+		t.setUnanswered(address, slices.DeleteFunc(requests, func(r unansweredRequest) bool {
+			return now-r.run.Ended >= unansweredTTL
+		}))
+	}
+	for fingerprint, history := range t.histories {
+		if now-history.ChangedAt() > 2*crashTTL {
+			delete(t.histories, fingerprint)
+			delete(t.announcements, fingerprint)
+		}
+	}
+}
--- a/host/entry/fleet.go
+++ b/host/entry/fleet.go
@@ -20,7 +20,7 @@
 	// is added at random.
 	heartbeatInterval = 600 * time.Millisecond
 	heartbeatJitter   = 100 * time.Millisecond
-	// minUrgentInterval is the shortest time between a heartbeat round and one that announces newer objects.
+	// minUrgentInterval is the shortest time between a heartbeat round and one with urgent news.
 	minUrgentInterval = 200 * time.Millisecond
 	// rolloutHeartbeatInterval replaces heartbeatInterval while a rollout is widening, so that evidence spreads quickly.
 	rolloutHeartbeatInterval = 250 * time.Millisecond
@@ -36,6 +36,9 @@
 	maxDiscoveryAddresses = 6
 	// unresponsiveHostRounds is the number of heartbeat rounds between two messages to a host that sends none itself.
 	unresponsiveHostRounds = 4
+	// crashRefreshRounds is the number of heartbeat rounds between two in which a delegate announces quarantined requests again,
+	// for hosts that were cut off or have restarted.
+	crashRefreshRounds = 5
 )
 
 // sender sends packets to other hosts.
@@ -64,8 +67,9 @@
 	sender func() sender
 	// peerPort is the peer port, which is the same at every host.
 	peerPort uint16
-	// objectsChanged receives when this host, which watches the store, has newer objects.
-	objectsChanged chan struct{}
+	// urgentNews receives when the other hosts must learn something before the next round: this host, which watches the store,
+	// has newer objects, or a request must be quarantined.
+	urgentNews chan struct{}
 
 	mu sync.Mutex
 	// peers holds the hosts whose heartbeats were received, by name.
@@ -80,7 +84,7 @@
 	rounds int
 	// number is the sequence number of the last message with an Origin.
 	number uint64
-	// urgent is set in a round that announces newer objects, which goes to all delegates.
+	// urgent is set in a round with urgent news, which goes to all delegates.
 	urgent bool
 	// wasDelegate is set if this host was a delegate in the last round.
 	wasDelegate bool
@@ -89,7 +93,7 @@
 func newFleet(h *Host) *fleet {
 	f := &fleet{
 		host: h, peers: map[string]*peer{}, domains: map[string]*domain{}, outsideDemand: map[string]*demandReport{},
-		unconfirmedAddresses: map[netip.AddrPort]string{}, objectsChanged: make(chan struct{}, 1),
+		unconfirmedAddresses: map[netip.AddrPort]string{}, urgentNews: make(chan struct{}, 1),
 	}
 	f.sender = func() sender {
 		if socket := f.socket.Load(); socket != nil {
@@ -191,12 +195,12 @@
 	f.host.stalenessDetector.comparePeer(now, heartbeat.Host, heartbeat.Digests, heartbeat.Revisions)
 }
 
-// answerFirstHeartbeat sends a newly discovered or restarted host this host's heartbeat, with peer addresses of hosts in the
-// receiver's failure domain. A delegate also sends the limits of servers and, to a host of its own domain, the summaries of the
+// answerFirstHeartbeat sends a newly discovered or restarted host this host's heartbeat, with quarantined requests and with peer
+// addresses of hosts in the receiver's failure domain. A delegate also sends the limits of servers and, to a host of its own domain, the summaries of the
 // other domains.
 func (f *fleet) answerFirstHeartbeat(address netip.AddrPort, failureDomain string) {
-	heartbeat := f.newHeartbeat(nil)
 	now := f.host.now()
+	heartbeat := f.newHeartbeat(f.host.crashTracker.quarantined(now))
 	f.mu.Lock()
 	heartbeat.PeerAddresses = f.peerAddressesOf(failureDomain, now)
 	known := f.knownSummaries(now, failureDomain)
@@ -237,7 +241,7 @@
 	return addresses
 }
 
-// run sends heartbeats until ctx is cancelled: at intervals, and when this host has newer objects of the store.
+// run sends heartbeats until ctx is cancelled: at intervals, and when there are urgent news.
 func (f *fleet) run(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -247,7 +251,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-timer.C:
-		case <-f.objectsChanged:
+		case <-f.urgentNews:
 			urgent = true
 			if !wait(ctx, lastRound+minUrgentInterval-f.host.now()) {
 				return nil
@@ -275,7 +279,7 @@
 	}
 }
 
-// setUrgent sets whether the next round announces newer objects.
+// setUrgent sets whether the next round has urgent news.
 func (f *fleet) setUrgent(urgent bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -285,8 +289,11 @@
 // sendHeartbeats sends this host's state to the hosts of its failure domain and, on a delegate, the domain's summary to the
 // other domains.
 func (f *fleet) sendHeartbeats() {
-	crashes := f.host.crashTracker.takeAnnouncements()
 	now := f.host.now()
+	f.mu.Lock()
+	refresh := f.rounds%crashRefreshRounds == 0
+	f.mu.Unlock()
+	crashes := f.host.crashTracker.takeAnnouncements(now, refresh && f.isDelegate(now))
 	heartbeat := f.newHeartbeat(crashes)
 	addresses := f.heartbeatTargets(now)
 	if f.isDelegate(now) {
@@ -385,19 +392,6 @@
 	return Starting
 }
 
-// handleCrashes records crashes that other hosts observed. A delegate also announces the new ones.
-func (f *fleet) handleCrashes(now time.Duration, crashes []Crash) {
-	for _, crash := range crashes {
-		if !f.host.crashTracker.recordReported(now, crash) {
-			continue
-		}
-		f.host.logCrash(crash, "", "reported")
-		if f.isDelegate(now) {
-			f.host.crashTracker.announce(crash)
-		}
-	}
-}
-
 // hostDemandPackets returns messages with the demand that this host reported last. It returns none if the demand fits a
 // heartbeat.
 func (f *fleet) hostDemandPackets() []Packet {
--- a/host/entry/host.go
+++ b/host/entry/host.go
@@ -153,10 +153,7 @@
 	h.retryBudgets = retryBudgets{host: h, entries: map[string]retry.Budget{}}
 	h.trafficSplits.credits = map[splitKey]float64{}
 	h.regionRTTs = regionRTTs{ownRegion: o.Settings.Region, entries: map[string]time.Duration{}}
-	h.crashTracker = crashTracker{
-		unanswered: map[uint32][]unansweredRequest{}, crashedServers: map[uint64]map[uint32]time.Duration{},
-		announcements: map[Crash]int{},
-	}
+	h.crashTracker = newCrashTracker()
 	h.fleet = newFleet(h)
 	h.probes.SetLimit(maxConcurrentProbes)
 	h.view.Store(&view{services: map[string][]*server{}, rollouts: map[string]*runningRollout{}})
@@ -324,8 +321,8 @@
 	}
 }
 
-// maintain regularly removes unlisted servers, chooses the hosts to follow, relists stale objects and forgets old limits of
-// servers, until ctx is cancelled.
+// maintain regularly removes unlisted servers, chooses the hosts to follow, relists stale objects and forgets old limits and
+// crashes of servers, until ctx is cancelled.
 func (h *Host) maintain(ctx context.Context) error {
 	ticker := time.NewTicker(maintainInterval)
 	defer ticker.Stop()
@@ -338,6 +335,7 @@
 			h.fleet.updateStoreSource(h.now())
 			h.relistStale(h.now())
 			h.serverLimits.maintain(h.now())
+			h.crashTracker.maintain(h.now())
 		}
 	}
 }
--- a/host/entry/probes.go
+++ b/host/entry/probes.go
@@ -20,9 +20,6 @@
 
 // markServerDown records that a server could not be reached, and probes it until it answers or leaves the list.
 func (h *Host) markServerDown(s *server, now time.Duration) {
-	for _, crash := range h.crashTracker.recordDown(now, s.ID) {
-		h.logCrash(crash, s.ID, "unreachable")
-	}
 	s.mu.Lock()
 	probing := s.probing
 	s.probing = true
--- a/host/entry/request.go
+++ b/host/entry/request.go
@@ -63,8 +63,9 @@
 	fallback *backends.Response
 	// server is the ID of the server of the last attempt.
 	server string
-	// lastServer is the server of the last attempt.
-	lastServer *server
+	// lastServer is the server of the last attempt, which began at attemptStarted.
+	lastServer     *server
+	attemptStarted time.Duration
 	// limitWait is the time after which the first server may get a request again, if the last choice found none because all
 	// servers have reached the limits that they state.
 	limitWait time.Duration
@@ -119,9 +120,6 @@
 	x.host.retryBudgets.countRequest(x.service)
 	x.versionFilter = x.host.versionFilter(v, x.service)
 	x.fingerprint = x.computeFingerprint()
-	if x.host.crashTracker.isQuarantined(x.host.now(), x.fingerprint) {
-		return callers.Refuse(http.StatusServiceUnavailable, "quarantined", "the request crashed the backend servers that ran it")
-	}
 	return x.forward()
 }
 
@@ -254,6 +252,9 @@
 		if (x.idempotent || x.possibleRuns == 0) && callers.Disconnected(x.r.Context()) {
 			return x.fail(callers.Refuse(statusClientClosedRequest, "caller-gone", "the caller has left"))
 		}
+		if x.host.crashTracker.isQuarantined(x.host.now(), x.fingerprint) {
+			return x.fail(callers.Refuse(http.StatusServiceUnavailable, "quarantined", "the request crashed the backend servers that ran it"))
+		}
 		v := x.host.view.Load()
 		s, choice := x.chooseServer(v)
 		if s == nil && x.only != "" && !x.finished {
--- a/host/entry/server.go
+++ b/host/entry/server.go
@@ -57,8 +57,10 @@
 	downUntil   time.Duration
 	failedDials int
 	// probing is set while the server is probed after a failed connection.
-	probing   bool
-	coldUntil time.Duration
+	probing bool
+	// checkingCrash is set while it is checked whether the server crashed after it left a request unanswered.
+	checkingCrash bool
+	coldUntil     time.Duration
 	// nextColdRequestAt is the time from which the server may get another request while it is cold.
 	nextColdRequestAt time.Duration
 	// recentKeys holds the time of the last request for each affinity key, for at most maxRecentKeys of them.
--- a/host/entry/staleness.go
+++ b/host/entry/staleness.go
@@ -77,7 +77,7 @@
 // watches the store announces a change at once, so that others notice when their own watches deliver nothing.
 func (h *Host) SetDigest(kind ObjectKind, digest uint32, revision uint64) {
 	if h.stalenessDetector.setDigest(kind, digest, revision) && h.storeState() == watchers.Reachable {
-		notify(h.fleet.objectsChanged)
+		notify(h.fleet.urgentNews)
 	}
 }
 
--- a/host/entry/view.go
+++ b/host/entry/view.go
@@ -86,6 +86,7 @@
 	delete(h.unlisted, entry.ID)
 	known := h.servers[entry.ID]
 	if known == nil || known.Address != entry.Address || known.Started != entry.Started {
+		h.recordNewProcess(now, known, entry)
 		h.servers[entry.ID] = newServer(entry, entry.Region == h.settings.Region, now)
 		h.log.Emit(events.ServerAdded, "server", entry.ID, "service", entry.Service, "version", entry.Version,
 			"failure-domain", entry.FailureDomain, "cold-for", entry.ColdFor, "leaving", entry.Leaving)
--- a/io/backends/client.go
+++ b/io/backends/client.go
@@ -202,6 +202,22 @@
 	return resp.reuseFailure
 }
 
+// CheckListening checks that a process listens at address, without a request: it returns nil if an idle connection is still open
+// or a new one can be opened. The connection is kept for later requests.
+func (c *Client) CheckListening(ctx context.Context, address string) *Failure {
+	p := c.pool(address)
+	conn := p.takeIdle(0)
+	if conn == nil {
+		var f *Failure
+		if conn, f = p.dial(ctx); f != nil {
+			return f
+		}
+		conn.lastUsed = time.Now()
+	}
+	p.putIdle(conn)
+	return nil
+}
+
 // Probe opens a new connection to the server and pings it. It returns nil when the server responds.
 func (c *Client) Probe(ctx context.Context, address string) error {
 	p := c.pool(address)
