Compare the ID of a response also if the request has none

Cause, here: for a request without an ID the ID of the response was not compared, so that a copy of a refusal of any other request counted as its answer, 'not run', and it went to the next server.

--- a/io/backends/exchange.go
+++ b/io/backends/exchange.go
@@ -15,7 +15,8 @@
 type Request struct {
 	// HTTP is the outgoing request; its Context is not used.
 	HTTP *http.Request
-	// ID is the value of RequestIDHeader that the response must echo; empty turns the check off.
+	// ID is the value of RequestIDHeader that the response must echo. If it is empty, the response may have no ID, but not the ID
+	// of another request.
 	ID string
 	// Deadline ends the attempt.
 	Deadline time.Time
@@ -211,8 +212,8 @@
 
 // readHeaders reads the status line and headers, skips informational (1xx) responses and checks the echoed request ID.
 func (c *Client) readHeaders(ctx context.Context, conn *connection, r *Request) (*http.Response, *Failure) {
-	earlier := conn.recentIDs
-	conn.recentIDs.add(r.HTTP.Header.Get(c.options.RequestIDHeader))
+	earlier, sentID := conn.recentIDs, r.HTTP.Header.Get(c.options.RequestIDHeader)
+	conn.recentIDs.add(sentID)
 	for range 5 {
 		conn.headerBytesLeft = maxHeaderBytes
 		head, err := http.ReadResponse(conn.br, r.HTTP)
@@ -227,14 +228,14 @@
 		if head.StatusCode >= 100 && head.StatusCode < 200 && head.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		if id := head.Header.Get(c.options.RequestIDHeader); id != r.ID && earlier.contains(id) {
+		if id := head.Header.Get(c.options.RequestIDHeader); id != sentID && earlier.contains(id) {
 			// This is a duplicate of an earlier response. The response of this request may still follow.
 			conn.duplicateSeen = true
 			if _, err := io.CopyN(io.Discard, head.Body, maxDuplicateBytes); !errors.Is(err, io.EOF) {
 				return nil, classify(ctx, err, true, CauseMismatch)
 			}
 			continue
-		} else if r.ID != "" && id != r.ID {
+		} else if id != sentID && (r.ID != "" || id != "") {
 			return nil, &Failure{Cause: CauseMismatch, Sent: true}
 		}
 		// A close-delimited body has no length to check its completeness against.
