--- a/host/entry/faulty_bytes_test.go
+++ b/host/entry/faulty_bytes_test.go
@@ -142,6 +142,11 @@
 			s.run(conn, id)
 			return true
 		}, "", "502"},
+		{"of the same request", func(s *scriptedServer, conn net.Conn, id string) bool {
+			s.refuse(conn, "first")
+			s.run(conn, id)
+			return true
+		}, "first", "200"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var kept net.Conn
