Test that a response that breaks off anywhere is never passed on as whole

Reported by operators of similar systems: a server stopped in the middle of its answer's head, and callers got a 200 with an empty or short body, framed as whole.

It can't happen here as far as the test shows: every prefix of seven kinds of response (length, length 0, chunked, trailer, until the connection ends, bare line feeds, after an informational response), ended or reset, on a route that may be repeated and one that must not, gives 502 or a response that is broken off; a body without length counts as whole only after a regular end. No code changes.

--- a/host/entry/faulty_bytes_test.go
+++ b/host/entry/faulty_bytes_test.go
@@ -185,3 +185,52 @@
 		})
 	}
 }
+
+// Guards against a response that a server breaks off, in the head or later, and that reaches the caller as a whole one.
+func TestResponseThatBreaksOffIsNeverWhole(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: request-1\r\nProof: yes\r\nKeep-Alive: timeout=12\r\n"
+	for _, c := range []struct {
+		name, response string
+		// whole is the length from which the response counts as whole.
+		whole int
+	}{
+		{"length", head + "Content-Length: 12\r\n\r\nbody of text", 0},
+		{"length 0", head + "Content-Length: 0\r\n\r\n", 0},
+		{"chunked", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", 0},
+		{"chunked with a trailer", head + "Transfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n5\r\nwhole\r\n0\r\nSum: 1\r\n\r\n", 0},
+		{"until the connection ends", head + "\r\nwhole", len(head) + 2},
+		{"line ends without carriage return", strings.ReplaceAll(head, "\r", "") + "Content-Length: 5\n\nwhole", 0},
+		{"after an informational response", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + head + "Content-Length: 5\r\n\r\nwhole", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if c.whole == 0 {
+				c.whole = len(c.response)
+			}
+			for _, path := range []string{"/read/1", "/write/1"} {
+				for n := range len(c.response) {
+					for _, reset := range []bool{false, true} {
+						server := newScriptedServer(t, func(s *scriptedServer, conn net.Conn, _ string) bool {
+							s.runs.Add(1)
+							_, _ = io.WriteString(conn, c.response[:n])
+							if reset {
+								time.Sleep(time.Millisecond)
+								_ = conn.(*net.TCPConn).SetLinger(0)
+							}
+							return false
+						})
+						h := newTestHost(t)
+						server.list(h, 1)
+						w, aborted := send(h, path, "request-1")
+						allowed := w.Code == http.StatusBadGateway || n >= c.whole && !reset && w.Code == http.StatusOK
+						if !aborted && !allowed || server.runs.Load() != 1 {
+							t.Errorf("%s, %q and then reset: %v: status %d, body %q, %d runs", path, c.response[:n], reset, w.Code, w.Body,
+								server.runs.Load())
+						}
+						close(h.stopping)
+						_ = h.probes.Wait()
+					}
+				}
+			}
+		})
+	}
+}
