Use the valid entries of the platform's list when others are invalid

Cause: in 'vanillatally host' one invalid entry (no slots, a number too large, text, deeply nested) made the whole list of hosts or backend servers invalid, so that the host stopped following it. Absurd slots and a port out of range were accepted.

Change: an invalid entry is left out and counted in the error that is logged (event 701).

--- a/host/backend_servers.go
+++ b/host/backend_servers.go
@@ -39,10 +39,11 @@
 	previousFailed := false
 	for {
 		listed, err := s.list.BackendServers(ctx)
-		if err == nil {
+		if platform.IsPartial(err) {
 			s.current.Store(&listed)
 			s.onUpdate(listed)
-		} else if !previousFailed && ctx.Err() == nil {
+		}
+		if err != nil && !previousFailed && ctx.Err() == nil {
 			s.log.Emit(events.ServerListReadFailed, "error", err)
 		}
 		previousFailed = err != nil
--- a/host/members/service.go
+++ b/host/members/service.go
@@ -343,6 +343,8 @@
 	hosts, err := s.options.PlatformList.Hosts(ctx)
 	if err != nil {
 		s.options.Logger.Warn("cannot read the platform's list of hosts", "error", err)
+	}
+	if !platform.IsPartial(err) {
 		return
 	}
 	listed := make(map[string]membership.PlatformHost, len(hosts))
--- a/io/events/catalogue.go
+++ b/io/events/catalogue.go
@@ -206,7 +206,7 @@
 	}
 	ServerListReadFailed = Event{
 		701, slog.LevelWarn, "list of backend servers could not be read",
-		"The platform did not deliver the list. The last one stays in use.",
+		"The platform did not deliver the list, and the last one stays in use; or entries are invalid, and the others are used. The error says which.",
 	}
 )
 
--- a/io/platform/http.go
+++ b/io/platform/http.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"maps"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -53,14 +55,33 @@
 // BackendServers implements List.
 func (h *HTTPList) BackendServers(ctx context.Context) ([]BackendServer, error) {
 	return fetch[BackendServer](ctx, h.client, h.endpoint+"/v1/backend-servers", func(e BackendServer) string {
-		if e.Slots < 1 || e.Connections < 1 || e.Address == "" || e.Service == "" {
+		if _, err := netip.ParseAddrPort(e.Address); err != nil {
+			return ""
+		}
+		if e.Slots < 1 || e.Slots > MaxSlots || e.Connections < 1 || e.Service == "" {
 			return ""
 		}
 		return e.ID
 	})
 }
 
-// fetch reads a JSON array. An entry for which id returns "" is invalid and makes the whole list invalid.
+// InvalidEntriesError says that entries of a list were left out because they are invalid. The other ones are returned with it.
+type InvalidEntriesError struct {
+	// Count is the number of invalid entries, at least 1, and First the index of the first one.
+	Count, First int
+}
+
+func (e *InvalidEntriesError) Error() string {
+	return fmt.Sprintf("%d entries are invalid, entry %d first: no id, service, slots, connections or address", e.Count, e.First)
+}
+
+// IsPartial reports whether the error of a read is nil or an InvalidEntriesError, so that the returned entries can be used.
+func IsPartial(err error) bool {
+	invalid := new(InvalidEntriesError)
+	return err == nil || errors.As(err, &invalid)
+}
+
+// fetch reads a JSON array. An entry for which id returns "" is invalid and left out; the error is an InvalidEntriesError then.
 func fetch[Entry any](
 	ctx context.Context, client *http.Client, listURL string, id func(Entry) string,
 ) (entries []Entry, err error) {
@@ -77,13 +98,28 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Newf("platform returned status %s", resp.Status)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&entries); err != nil {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	if err != nil {
+		return nil, err
+	}
+	var encoded []json.RawMessage
+	if err := UnmarshalCuttingDeepValues(data, &encoded); err != nil {
 		return nil, err
 	}
-	for i, entry := range entries {
-		if id(entry) == "" {
-			return nil, errors.Newf("entry %d has no id, address, service, slots or connections", i)
+	invalid := InvalidEntriesError{}
+	for i, text := range encoded {
+		var entry Entry
+		if json.Unmarshal(text, &entry) == nil && id(entry) != "" {
+			entries = append(entries, entry)
+			continue
+		}
+		if invalid.Count == 0 {
+			invalid.First = i
 		}
+		invalid.Count++
+	}
+	if invalid.Count > 0 {
+		return entries, &invalid
 	}
 	return entries, nil
 }
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -40,7 +40,11 @@
 	Started int64 `json:"started,omitempty"`
 }
 
-// List is the interface through which the system reads the platform list.
+// MaxSlots bounds the slots that a server may state. A server with an absurd number would look idle and get all requests.
+const MaxSlots = 100_000
+
+// List is the interface through which the system reads the platform list. If entries are invalid, the others are returned with an
+// InvalidEntriesError.
 type List interface {
 	Hosts(ctx context.Context) ([]Host, error)
 	BackendServers(ctx context.Context) ([]BackendServer, error)
