--- a/host/backend_servers.go
+++ b/host/backend_servers.go
@@ -39,7 +39,7 @@
 	previousFailed := false
 	for {
 		listed, err := s.list.BackendServers(ctx)
-		if platform.IsPartial(err) {
+		if platform.IsUsable(err) {
 			s.current.Store(&listed)
 			s.onUpdate(listed)
 		}
--- a/host/entry/fleet.go
+++ b/host/entry/fleet.go
@@ -196,8 +196,8 @@
 }
 
 // answerFirstHeartbeat sends a newly discovered or restarted host this host's heartbeat, with quarantined requests and with peer
-// addresses of hosts in the receiver's failure domain. A delegate also sends the limits of servers and, to a host of its own domain, the summaries of the
-// other domains.
+// addresses of hosts in the receiver's failure domain. A delegate also sends the limits of servers and, to a host of its own domain,
+// the summaries of the other domains.
 func (f *fleet) answerFirstHeartbeat(address netip.AddrPort, failureDomain string) {
 	now := f.host.now()
 	heartbeat := f.newHeartbeat(f.host.crashTracker.quarantined(now))
@@ -241,7 +241,7 @@
 	return addresses
 }
 
-// run sends heartbeats until ctx is cancelled: at intervals, and when there are urgent news.
+// run sends heartbeats until ctx is cancelled: at intervals, and when there is urgent news.
 func (f *fleet) run(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
--- a/host/entry/request.go
+++ b/host/entry/request.go
@@ -253,7 +253,8 @@
 			return x.fail(callers.Refuse(statusClientClosedRequest, "caller-gone", "the caller has left"))
 		}
 		if x.host.crashTracker.isQuarantined(x.host.now(), x.fingerprint) {
-			return x.fail(callers.Refuse(http.StatusServiceUnavailable, "quarantined", "the request crashed the backend servers that ran it"))
+			return x.fail(callers.Refuse(http.StatusServiceUnavailable, "quarantined",
+				"the request crashed the backend servers that ran it"))
 		}
 		v := x.host.view.Load()
 		s, choice := x.chooseServer(v)
--- a/host/members/service.go
+++ b/host/members/service.go
@@ -344,7 +344,7 @@
 	if err != nil {
 		s.options.Logger.Warn("cannot read the platform's list of hosts", "error", err)
 	}
-	if !platform.IsPartial(err) {
+	if !platform.IsUsable(err) {
 		return
 	}
 	listed := make(map[string]membership.PlatformHost, len(hosts))
--- a/host/request/quarantine.go
+++ b/host/request/quarantine.go
@@ -138,8 +138,8 @@
 	}
 }
 
-// detectCrash checks whether a server that broke off the connection, before or in the middle of the response, has crashed. If so, it notifies all hosts before the caller can
-// resend the request. alone is set when no other request ran on the server.
+// detectCrash checks whether a server that broke off the connection, before or in the middle of the response, has crashed. If so,
+// it notifies all hosts before the caller can resend the request. alone is set when no other request ran on the server.
 func (x *exchange) detectCrash(failure *backends.Failure, alone bool) {
 	brokenOff := failure.Cause == backends.CauseClosed || failure.Cause == backends.CauseTruncated
 	if !brokenOff || !failure.Sent || !connectionRefused(x.server.Address) {
--- a/io/platform/http.go
+++ b/io/platform/http.go
@@ -75,8 +75,8 @@
 	return fmt.Sprintf("%d entries are invalid, entry %d first: no id, service, slots, connections or address", e.Count, e.First)
 }
 
-// IsPartial reports whether the error of a read is nil or an InvalidEntriesError, so that the returned entries can be used.
-func IsPartial(err error) bool {
+// IsUsable reports whether a read with this error returned a list: err is nil or an InvalidEntriesError.
+func IsUsable(err error) bool {
 	invalid := new(InvalidEntriesError)
 	return err == nil || errors.As(err, &invalid)
 }
