--- a/host/entry/crash_tracker.go
+++ b/host/entry/crash_tracker.go
@@ -38,7 +38,8 @@
 // process answers at its address, or the list names a later process.
 type crashTracker struct {
 	mu sync.Mutex
-	// unanswered holds the requests whose connection broke within unansweredTTL, by the server's address.
+	// unanswered holds the requests whose connection broke within unansweredTTL and since the server's last answer, by the server's
+	// address.
 	unanswered map[string][]unansweredRequest
 	// histories holds the crashes of at most maxTrackedRequests requests, by fingerprint.
 	histories map[uint64]quarantine.History
@@ -52,9 +53,6 @@
 	run         quarantine.Run
 	// process is the server's process that got the request.
 	process incarnation
-	// serverAnswered is set once the server answered a request that was sent later. Only a later process of the server shows
-	// then that the server has crashed: it may be that process that answered.
-	serverAnswered bool
 }
 
 func newCrashTracker() crashTracker {
@@ -77,17 +75,17 @@
 func (t *crashTracker) hasUnanswered(address string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return slices.ContainsFunc(t.unanswered[address], func(r unansweredRequest) bool { return !r.serverAnswered })
+	return len(t.unanswered[address]) > 0
 }
 
 // recordGone records that the server at the address has ended, and counts a crash against each request that it left unanswered
 // since its last answer. It returns the crashes that are new.
 func (t *crashTracker) recordGone(now time.Duration, address string) []Crash {
-	return t.countCrashes(now, address, func(r unansweredRequest) bool { return !r.serverAnswered })
+	return t.countCrashes(now, address, func(unansweredRequest) bool { return true })
 }
 
 // recordProcess records that a process of a server started at the address. A crash counts against each request that an earlier
-// process left unanswered. It returns the crashes that are new.
+// process left unanswered since its last answer. It returns the crashes that are new.
 func (t *crashTracker) recordProcess(now time.Duration, address string, process incarnation) []Crash {
 	return t.countCrashes(now, address, func(r unansweredRequest) bool { return r.process != process })
 }
@@ -152,10 +150,8 @@
 		t.histories[fingerprint] = history.WithAnswer(now)
 		delete(t.announcements, fingerprint)
 	}
-	for i, request := range t.unanswered[address] {
-		if request.run.Ended <= started {
-			t.unanswered[address][i].serverAnswered = true
-		}
+	if requests := t.unanswered[address]; len(requests) > 0 {
+		t.setUnanswered(address, slices.DeleteFunc(requests, func(r unansweredRequest) bool { return r.run.Ended <= started }))
 	}
 }
 
