--- a/core/quarantine/notice.go
+++ b/core/quarantine/notice.go
@@ -1,5 +1,6 @@
-// Package quarantine keeps a table of requests that crash backend servers, which are refused, and of requests suspected of
-// it, which run alone. Its functions do no input or output.
+// Package quarantine decides which requests crash backend servers. A Table holds the requests that are refused, and those that are
+// suspected and run alone. A History counts the crashes of one request where suspected requests do not run alone. The functions do
+// no input or output.
 package quarantine
 
 // Notice informs other hosts of the state of a request that was running when a backend server crashed.
--- a/host/entry/crash_tracker.go
+++ b/host/entry/crash_tracker.go
@@ -159,6 +159,7 @@
 func (t *crashTracker) recordReported(now time.Duration, reported Crash) (crash Crash, isNew bool) {
 	number := int(reported.Number)
 	if number > quarantineCrashes {
+		// An earlier version sent the hash of a server's ID.
 		number = 1
 	}
 	t.mu.Lock()
