Receive from no timer that is already due in the rounds of heartbeats

Cause: in a testing/synctest bubble, a select on a timer that is due runs it on the spot, with the race context of the bubble (Go 1.26.8, runtime/time.go, unlockAndRun). Goroutines of one bubble do so on several threads at once and corrupt that context.

Change: the first round is sent without a timer, and a wait that is over uses none. Nothing else changes for a running host.

--- a/host/entry/fleet.go
+++ b/host/entry/fleet.go
@@ -241,12 +241,12 @@
 	return addresses
 }
 
-// run sends heartbeats until ctx is cancelled: at intervals, and when there is urgent news.
+// run sends heartbeats until ctx is cancelled: at once, at intervals, and when there is urgent news.
 func (f *fleet) run(ctx context.Context) error {
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(f.sendRound(false))
 	defer timer.Stop()
-	var lastRound time.Duration
-	for urgent := false; ; urgent = false {
+	for lastRound := f.host.now(); ; lastRound = f.host.now() {
+		urgent := false
 		select {
 		case <-ctx.Done():
 			return nil
@@ -257,20 +257,28 @@
 				return nil
 			}
 		}
-		lastRound = f.host.now()
-		f.updatePollerRole(f.host.now())
-		f.setUrgent(urgent)
-		f.sendHeartbeats()
-		next := heartbeatInterval
-		if f.host.isWidening() {
-			next = rolloutHeartbeatInterval
-		}
-		timer.Reset(next + time.Duration(rand.Int64N(int64(heartbeatJitter))))
+		timer.Reset(f.sendRound(urgent))
 	}
 }
 
-// wait waits for d, and reports whether ctx has not ended.
+// sendRound sends the heartbeats of one round, and returns the time until the next one.
+func (f *fleet) sendRound(urgent bool) (next time.Duration) {
+	f.updatePollerRole(f.host.now())
+	f.setUrgent(urgent)
+	f.sendHeartbeats()
+	next = heartbeatInterval
+	if f.host.isWidening() {
+		next = rolloutHeartbeatInterval
+	}
+	return next + time.Duration(rand.Int64N(int64(heartbeatJitter)))
+}
+
+// wait waits for d, and reports whether ctx has not ended. It uses no timer for a wait that is over: in a testing/synctest bubble,
+// receiving from a timer that is due crashes the race detector of Go 1.26 (runtime.(*timer).maybeRunChan).
 func wait(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	select {
 	case <-ctx.Done():
 		return false
