--- a/host/entry/faulty_bytes_test.go
+++ b/host/entry/faulty_bytes_test.go
@@ -99,8 +99,8 @@
 	return w, false
 }
 
-// Guards against a refusal that a faulty server writes once more on a kept connection: callers would be told that a request has
-// not run which has, or it would run at a second server.
+// Guards against a refusal that a faulty server writes once more on a kept connection: callers would get "not run"
+// for a request that has run, or it would run at a second server.
 func TestCopyOfEarlierRefusalIsNotTakenForAnAnswer(t *testing.T) {
 	for _, c := range []struct {
 		name string
--- a/io/backends/exchange.go
+++ b/io/backends/exchange.go
@@ -58,7 +58,7 @@
 	p := c.pool(address)
 	conn := p.takeIdle(r.VerifiedWithin)
 	for conn != nil && conn.recentIDs.contains(r.ID) {
-		// A late copy of the response to the earlier request with this ID could not be told from the response to this one.
+		// A late copy of the response to the earlier request with this ID could not be distinguished from the response to this one.
 		p.retire(conn)
 		conn = p.takeIdle(r.VerifiedWithin)
 	}
