Send callers to the large hosts of their failure domain

Cause: look-ups returned the first four hosts by address.

Ruled out: processor time of the hosts (1% of a core on average) and the servers' queues alone.

Change: settings cpu-share, cores and link-mbps, passed on with heartbeats and summaries as an additional field that other versions ignore; core/dispatch chooses the large hosts of the callers' failure domain or region, if they stand out and there are two or more. Equal or unknown sizes: as before.

--- a/core/delegates/delegates.go
+++ b/core/delegates/delegates.go
@@ -22,6 +22,8 @@
 	Ready bool
 	// Store is the host's access to the store.
 	Store watchers.StoreAccess
+	// Cores is the processor time that the host's machine provides per second; 0 if it is not known.
+	Cores float64
 }
 
 // Choose returns the names of the failure domain's delegates. The first one takes precedence when they disagree.
@@ -35,12 +37,12 @@
 }
 
 // Advertised returns the names of the hosts that are made known to the other domains: the delegates, then the hosts that reach
-// the store, then those that accept requests.
+// the store, then those that accept requests, of each kind the ones with the most cores first.
 func Advertised(hosts []Host) []string {
 	names := Choose(hosts)
 	rest := slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool { return slices.Contains(names, h.Name) })
 	slices.SortFunc(rest, func(a, b Host) int {
-		return cmp.Or(cmp.Compare(advertisingRank(a), advertisingRank(b)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(advertisingRank(a), advertisingRank(b)), cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.Name, b.Name))
 	})
 	for _, h := range rest[:min(len(rest), MaxAdvertised-len(names))] {
 		names = append(names, h.Name)
--- a/host/entry/advertise.go
+++ b/host/entry/advertise.go
@@ -68,7 +68,7 @@
 // domainPackets returns the messages with the summary and the demand of this host's failure domain. The caller holds f.mu.
 func (f *fleet) domainPackets(now time.Duration, summary *DomainSummary, isPrimary bool) []Packet {
 	demand := f.sumDomainDemand(now)
-	packets := []Packet{{DomainSummary: summary}}
+	packets := []Packet{{DomainSummary: summary, Capacities: f.capacitiesOf(summary.Listed)}}
 	if len(demand) <= maxHeartbeatTeams {
 		summary.DemandComplete, summary.Demand = true, demand
 		return packets
@@ -180,7 +180,7 @@
 		if primary := f.domains[name].primary(now, f.domainTimeout(name)); primary != nil && name != except {
 			// Copy it, since the next summary overwrites the stored one.
 			summary := primary.DomainSummary
-			packets = append(packets, Packet{DomainSummary: &summary})
+			packets = append(packets, Packet{DomainSummary: &summary, Capacities: primary.capacities})
 		}
 	}
 	return packets
--- a/host/entry/domains.go
+++ b/host/entry/domains.go
@@ -40,6 +40,8 @@
 // delegate is a delegate of another failure domain.
 type delegate struct {
 	DomainSummary
+	// capacities holds the capacities of the first hosts of Listed.
+	capacities []HostCapacity
 	// lastSeen is the time of the last summary.
 	lastSeen     time.Duration
 	demandReport demandReport
@@ -113,11 +115,11 @@
 func (f *fleet) domainHosts(now time.Duration) []delegates.Host {
 	var hosts []delegates.Host
 	if own := f.host; !own.draining.Load() {
-		hosts = append(hosts, delegates.Host{Name: own.settings.Host, Ready: own.ready(), Store: own.storeState()})
+		hosts = append(hosts, delegates.Host{Name: own.settings.Host, Ready: own.ready(), Store: own.storeState(), Cores: own.capacity().Cores})
 	}
 	for name, p := range f.peers {
 		if p.FailureDomain == f.host.settings.FailureDomain && f.alive(p, now) {
-			hosts = append(hosts, delegates.Host{Name: name, Ready: p.State == Ready, Store: p.reportedStore(now)})
+			hosts = append(hosts, delegates.Host{Name: name, Ready: p.State == Ready, Store: p.reportedStore(now), Cores: p.capacity.Cores})
 		}
 	}
 	return hosts
--- a/host/entry/fleet.go
+++ b/host/entry/fleet.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"vanillatally/core/dispatch"
 	"vanillatally/core/placement"
 	"vanillatally/core/watchers"
 	"vanillatally/io/datagrams"
@@ -51,6 +52,8 @@
 	Heartbeat
 	address netip.AddrPort
 	region  string
+	// capacity is that of the host's machine; zero if it is not known.
+	capacity dispatch.Capacity
 	// lastSeen is the time of the last heartbeat.
 	lastSeen time.Duration
 	// demandReport holds the host's demand if it has more teams than a heartbeat holds.
@@ -142,6 +145,7 @@
 	switch {
 	case packet.HostHeartbeat != nil:
 		f.handleHeartbeat(from, *packet.HostHeartbeat)
+		f.recordCapacity(packet)
 	case packet.DomainSummary != nil:
 		f.handleSummary(from, packet)
 	case packet.DemandPart != nil:
@@ -179,6 +183,9 @@
 		now-previous.demandReport.lastSeen < hostTimeout {
 		current.demandReport = previous.demandReport
 	}
+	if previous != nil && previous.Started == heartbeat.Started {
+		current.capacity = previous.capacity
+	}
 	f.peers[heartbeat.Host] = current
 	delete(f.unconfirmedAddresses, address)
 	f.mu.Unlock()
@@ -205,7 +212,7 @@
 	heartbeat.PeerAddresses = f.peerAddressesOf(failureDomain, now)
 	known := f.knownSummaries(now, failureDomain)
 	f.mu.Unlock()
-	f.sendPacket(Packet{HostHeartbeat: &heartbeat}, []netip.AddrPort{address})
+	f.sendPacket(f.heartbeatPacket(&heartbeat), []netip.AddrPort{address})
 	if !f.isDelegate(now) {
 		return
 	}
@@ -309,7 +316,7 @@
 		heartbeat.PeerAddresses = f.peerAddressesOf(f.host.settings.FailureDomain, now)
 		f.mu.Unlock()
 	}
-	packets := append([]Packet{{HostHeartbeat: &heartbeat}}, f.rolloutPackets()...)
+	packets := append([]Packet{f.heartbeatPacket(&heartbeat)}, f.rolloutPackets()...)
 	if len(heartbeat.Demand) == 0 {
 		packets = append(packets, f.hostDemandPackets()...)
 	}
@@ -323,7 +330,7 @@
 // sendHeartbeatTo sends this host's heartbeat to the addresses.
 func (f *fleet) sendHeartbeatTo(addresses []netip.AddrPort) {
 	heartbeat := f.newHeartbeat(nil)
-	f.sendPacket(Packet{HostHeartbeat: &heartbeat}, addresses)
+	f.sendPacket(f.heartbeatPacket(&heartbeat), addresses)
 }
 
 // sendPacket sends a packet to the addresses. Before the host listens it does nothing.
--- a/host/entry/fleet_test.go
+++ b/host/entry/fleet_test.go
@@ -226,7 +226,7 @@
 	if got := h.fleet.lookup("north", "north-a"); !slices.Equal(got, []string{"a-1:80", "a-2:80", "a-3:80", "a-4:80"}) {
 		t.Errorf("lookup in a domain with many hosts: %v", got)
 	}
-	if got := h.fleet.lookup("north", "north-b"); len(got) != 4 || slices.Contains(got, "b-1:80") && len(got) < minDomainHosts {
+	if got := h.fleet.lookup("north", "north-b"); len(got) != 4 || slices.Contains(got, "b-1:80") && len(got) < 3 {
 		t.Errorf("lookup in a domain with two hosts: %v", got)
 	}
 }
@@ -266,3 +266,32 @@
 	c := config.Configuration{Sequence: 1}.WithIndex()
 	return &c
 }
+
+// Guards against callers of a failure domain that are sent to its small hosts because their addresses come first, and against
+// capacities that are lost on the way to other failure domains.
+func TestLookupPrefersLargeHosts(t *testing.T) {
+	h := newTestHost(t, newBackend(t, answerOK))
+	h.settings.Regions = map[string]string{"north-a": "north", "north-b": "north"}
+	h.settings.CallerAddress, h.settings.CPUShare, h.settings.Cores, h.settings.LinkMbps = "a-9:80", 0.8, 1, 200
+	small, large := []HostCapacity{{Cores: 16, LinkMbps: 10}}, []HostCapacity{{Cores: 80, LinkMbps: 200}}
+	for name, capacities := range map[string][]HostCapacity{"a-1": small, "a-2": small, "a-3": small, "a-8": large} {
+		h.fleet.receive(netip.MustParseAddrPort("10.0.0.9:7000"), Packet{HostHeartbeat: &Heartbeat{
+			Host: name, Started: 1, State: Ready, CallerAddr: name + ":80", FailureDomain: "north-a",
+		}, Capacities: capacities})
+	}
+	if got := h.fleet.lookup("north", "north-a"); !slices.Equal(got, []string{"a-8:80", "a-9:80"}) {
+		t.Errorf("lookup returns %v, want the two large hosts", got)
+	}
+	h.fleet.mu.Lock()
+	summary, _ := h.fleet.domainSummary(h.now())
+	packets := h.fleet.domainPackets(h.now(), summary, true)
+	h.fleet.mu.Unlock()
+	other := newTestHost(t, newBackend(t, answerOK))
+	other.settings.FailureDomain, other.settings.Regions = "north-b", h.settings.Regions
+	for _, packet := range packets {
+		other.fleet.receive(netip.MustParseAddrPort("10.0.0.9:7000"), packet)
+	}
+	if got := other.fleet.lookup("north", "north-a"); !slices.Equal(got, []string{"a-8:80", "a-9:80"}) {
+		t.Errorf("lookup in another failure domain returns %v, want the two large hosts", got)
+	}
+}
--- a/host/entry/members.go
+++ b/host/entry/members.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"vanillatally/core/delegates"
+	"vanillatally/core/dispatch"
 	"vanillatally/core/placement"
 	"vanillatally/core/share"
 	"vanillatally/core/watchers"
@@ -14,6 +15,7 @@
 type member struct {
 	Listed
 	failureDomain, region string
+	capacity              dispatch.Capacity
 }
 
 // alive reports whether a heartbeat of the host was received within hostTimeout and it is not leaving. The caller holds f.mu.
@@ -33,7 +35,7 @@
 				Listed: Listed{
 					Host: name, State: p.State, CallerAddr: p.CallerAddr, PeerAddr: p.address, StoreAccess: p.reportedStore(now),
 				},
-				failureDomain: p.FailureDomain, region: p.region,
+				failureDomain: p.FailureDomain, region: p.region, capacity: p.capacity,
 			})
 		}
 	}
@@ -42,13 +44,15 @@
 		if primary == nil {
 			continue
 		}
-		for _, listed := range primary.Listed {
+		for i, listed := range primary.Listed {
 			if !seen[listed.Host] {
 				seen[listed.Host] = true
 				if now-primary.lastSeen >= watcherTimeout+f.domainTimeout(name)-hostTimeout {
 					listed.StoreAccess = watchers.Unreachable
 				}
-				all = append(all, member{Listed: listed, failureDomain: name, region: f.host.settings.Regions[name]})
+				all = append(all, member{
+					Listed: listed, failureDomain: name, region: f.host.settings.Regions[name], capacity: primary.capacity(i),
+				})
 			}
 		}
 	}
@@ -240,41 +244,3 @@
 	}
 	return append(near, far...)
 }
-
-// minDomainHosts is the number of ready hosts in a failure domain from which its callers are sent to these hosts only.
-const minDomainHosts = 3
-
-// lookup returns the caller addresses of the ready hosts of the failure domain. If it has fewer than minDomainHosts, it
-// returns those of the region, and if that has none, those of all hosts. The result is cut to the configured number of
-// hosts.
-func (f *fleet) lookup(region, failureDomain string) []string {
-	now := f.host.now()
-	var domain, near, all []string
-	add := func(inRegion, inDomain, address string) {
-		all = append(all, address)
-		if inRegion == region {
-			near = append(near, address)
-		}
-		if inDomain == failureDomain {
-			domain = append(domain, address)
-		}
-	}
-	if f.host.ready() {
-		add(f.host.settings.Region, f.host.settings.FailureDomain, f.host.settings.CallerAddress)
-	}
-	f.mu.Lock()
-	for _, m := range f.members(now) {
-		if m.State == Ready {
-			add(m.region, m.failureDomain, m.CallerAddr)
-		}
-	}
-	f.mu.Unlock()
-	found := all
-	if len(domain) >= minDomainHosts {
-		found = domain
-	} else if len(near) > 0 {
-		found = near
-	}
-	slices.Sort(found)
-	return found[:min(len(found), int(f.host.limits.Load().LookupHosts))]
-}
--- a/host/entry/messages.go
+++ b/host/entry/messages.go
@@ -1,12 +1,14 @@
 package entry
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"vanillatally/core/dispatch"
 	"vanillatally/core/rollout"
 	"vanillatally/core/watchers"
 )
@@ -35,13 +37,36 @@
 	Leaving
 )
 
-// Packet is one datagram between hosts. Exactly one field is set. Its encoding must fit datagrams.MaxBytes.
+// Packet is one datagram between hosts. Exactly one message is set. Its encoding must fit datagrams.MaxBytes.
 type Packet struct {
 	HostHeartbeat *Heartbeat
 	DomainSummary *DomainSummary
 	DemandPart    *DemandPart
 	Rollout       *RolloutMessage
 	ServerNotices *ServerNotices
+	// Capacities holds the capacity of the sender of a HostHeartbeat, or of the Listed hosts of a DomainSummary in their order.
+	// It is empty if none is known.
+	Capacities []HostCapacity
+}
+
+// HostCapacity is the capacity of a host's machine, in hundredths of a core and megabits per second.
+type HostCapacity struct {
+	_        struct{} `cbor:",toarray"`
+	Cores    uint16
+	LinkMbps uint32
+}
+
+// coreScale turns cores into the integers of messages.
+const coreScale = 100
+
+func encodeCapacity(c dispatch.Capacity) HostCapacity {
+	return HostCapacity{
+		Cores: uint16(min(c.Cores*coreScale, math.MaxUint16)), LinkMbps: uint32(min(c.LinkMbps, math.MaxUint32)),
+	}
+}
+
+func (c HostCapacity) decode() dispatch.Capacity {
+	return dispatch.Capacity{Cores: float64(c.Cores) / coreScale, LinkMbps: float64(c.LinkMbps)}
 }
 
 // packetFields is the number of fields that every version of the program encodes. Hosts of earlier versions drop packets with
@@ -50,14 +75,18 @@
 
 // fields returns pointers to the fields in the order in which they are encoded.
 func (p *Packet) fields() []any {
-	return []any{&p.HostHeartbeat, &p.DomainSummary, &p.DemandPart, &p.Rollout, &p.ServerNotices}
+	return []any{&p.HostHeartbeat, &p.DomainSummary, &p.DemandPart, &p.Rollout, &p.ServerNotices, &p.Capacities}
 }
 
 // MarshalCBOR encodes the packet as an array of its fields. Later fields are left out if they are not set, so that hosts of
 // earlier versions can decode the packet.
 func (p Packet) MarshalCBOR() ([]byte, error) {
 	fields := p.fields()
-	if p.ServerNotices == nil {
+	switch {
+	case len(p.Capacities) > 0:
+	case p.ServerNotices != nil:
+		fields = fields[:packetFields+1]
+	default:
 		fields = fields[:packetFields]
 	}
 	return cbor.Marshal(fields)
--- a/host/entry/receive.go
+++ b/host/entry/receive.go
@@ -46,7 +46,7 @@
 		f.mu.Unlock()
 		return
 	}
-	record.DomainSummary, record.lastSeen = *summary, now
+	record.DomainSummary, record.lastSeen, record.capacities = *summary, now, packet.Capacities
 	if summary.DemandComplete {
 		record.demandReport.addPart(now, &DemandPart{Origin: summary.Origin, Scope: scopeDomain, Parts: 1, Demand: summary.Demand})
 	}
--- a/host/entry/server_limits_test.go
+++ b/host/entry/server_limits_test.go
@@ -91,7 +91,7 @@
 	if err := cbor.Unmarshal(encoded, &earlier); err != nil || earlier.HostHeartbeat == nil || earlier.HostHeartbeat.Host != "host-2" {
 		t.Errorf("an earlier version decodes %+v, %v", earlier, err)
 	}
-	encoded, err = cbor.Marshal([]any{nil, nil, nil, nil, &ServerNotices{Limits: []ServerLimit{{Server: 7}}}, "new field"})
+	encoded, err = cbor.Marshal([]any{nil, nil, nil, nil, &ServerNotices{Limits: []ServerLimit{{Server: 7}}}, nil, "new field"})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/settings/entry_host.go
+++ b/io/settings/entry_host.go
@@ -31,8 +31,14 @@
 	Regions map[string]string `toml:"regions"`
 	// MemoryBytes is the memory that the process may use. It may be a fraction, since some platforms state it in
 	// megabytes.
-	MemoryBytes float64         `toml:"memory-bytes"`
-	Limits      EntryHostLimits `toml:"limits"`
+	MemoryBytes float64 `toml:"memory-bytes"`
+	// CPUShare is the part of a core that the host may use, and Cores the speed of that core relative to the usual one. LinkMbps
+	// is the bandwidth of the network link in megabits per second. Callers are sent to the larger ones of several hosts; 0 says
+	// that the value is not known.
+	CPUShare float64         `toml:"cpu-share"`
+	Cores    float64         `toml:"cores"`
+	LinkMbps float64         `toml:"link-mbps"`
+	Limits   EntryHostLimits `toml:"limits"`
 }
 
 // EntryHostLimits are limits that all entry hosts keep together, and limits of one host.
@@ -61,6 +67,7 @@
 	return EntryHost{
 		LogLevel:    "info",
 		MemoryBytes: 256 << 20,
+		Cores:       1,
 		Limits: EntryHostLimits{
 			LookupTTL: Duration(2 * time.Second), GracePeriod: Duration(6 * time.Second),
 			RetryShare: 0.2, RetrySlack: 50, RateSlack: 20, ExposureShare: 0.1, RequestBytes: 64 << 20, LookupHosts: 4,
@@ -87,6 +94,9 @@
 		return s.LogLevel, true
 	}},
 	checkInteger("memory-bytes", 16<<20, 1<<40, func(s EntryHost) int64 { return int64(s.MemoryBytes) }),
+	checkAmount("cpu-share", func(s EntryHost) float64 { return s.CPUShare }),
+	checkAmount("cores", func(s EntryHost) float64 { return s.Cores }),
+	checkAmount("link-mbps", func(s EntryHost) float64 { return s.LinkMbps }),
 	checkDuration("limits.lookup-ttl", 100*time.Millisecond, time.Minute, func(s EntryHost) Duration { return s.Limits.LookupTTL }),
 	checkDuration("limits.grace", time.Second, 10*time.Minute, func(s EntryHost) Duration { return s.Limits.GracePeriod }),
 	checkShare("limits.retry-share", func(s EntryHost) float64 { return s.Limits.RetryShare }),
