Weigh the pace that backend servers report in the choice of a server

Cause: some servers report a fourth figure, how long work takes on their machine at present. recordLoad read two figures and dropped the rest.

A candidate's relative service time is multiplied by the factor expected for the service's mean service time. What the pace explains is taken out of measured service times, and slow machines get more time before a response counts as slow in a rollout. Reports are parsed strictly; ignored ones are counted in invalid_load_reports_total. Without a fourth figure nothing changes.

--- a/host/entry/attempt.go
+++ b/host/entry/attempt.go
@@ -30,7 +30,7 @@
 		return attemptResult{final: deadlineExceeded()}
 	}
 	started := x.host.now()
-	x.attemptStarted = started
+	x.attemptStarted, x.attemptPace = started, s.paceAt(started)
 	s.requestStarted(started, x.affinityKey)
 	request := &backends.Request{HTTP: x.newServerRequest(s, timeLeft), ID: x.id, Deadline: x.deadline}
 	observation := x.host.observe(v, s, x.routeName, x.slowThreshold(s, choice))
@@ -43,7 +43,7 @@
 	}
 	// A misdirected request was answered by another server, which has taken over the address.
 	if load := response.Header.Get(x.host.headerNames.ServerLoad); load != "" && response.Status != http.StatusMisdirectedRequest {
-		s.recordLoad(now, load)
+		x.recordLoad(s, load, now)
 	}
 	return x.handleResponse(observation, s, response, choice, now, now-started)
 }
@@ -138,19 +138,41 @@
 	}
 }
 
-// slowThreshold returns the time after which a response of the server counts as slow in a rollout.
+// recordLoad stores the load report of a response, or the part of it that is valid.
+func (x *exchange) recordLoad(s *server, header string, now time.Duration) {
+	report, invalid := parseLoadReport(header)
+	if invalid != "" {
+		x.host.metrics.Count("invalid-load-reports", "", "", "part="+strconv.Quote(string(invalid)), 1)
+	}
+	if invalid != invalidReport {
+		s.recordLoad(now, x.host.regionRTTs.rtt(s.Region), report)
+	}
+}
+
+// slowThreshold returns the time after which a response of the server counts as slow in a rollout. A machine that is slow at
+// present says nothing about the version that runs on it.
 func (x *exchange) slowThreshold(s *server, choice placement.Choice) time.Duration {
 	_, cold, _ := x.serviceTimes.estimates()
-	return x.host.regionRTTs.rtt(s.Region) + choice.QueueWait + slowFactor*cold
+	roundTripTime := x.host.regionRTTs.rtt(s.Region)
+	allowed := slowFactor * x.maxPace(s, x.host.now()-roundTripTime) * float64(cold)
+	return roundTripTime + choice.QueueWait + time.Duration(allowed)
+}
+
+// maxPace returns the higher one of the paces that the server had when the attempt began and when it ended, at least 1. ended is
+// the time at which a request would have had to be sent to arrive at the end.
+func (x *exchange) maxPace(s *server, ended time.Duration) float64 {
+	return max(x.attemptPace, s.paceAt(ended), 1)
 }
 
 // observeServiceTime updates the statistics with the service time of a response: the time without the round trip and the
-// expected wait in the server's queue. Responses of requests that were expected to queue are left out, since their wait is
-// only an estimate.
+// expected wait in the server's queue, without what the reported pace of the server explains. Responses of requests that were
+// expected to queue are left out, since their wait is only an estimate.
 func (x *exchange) observeServiceTime(s *server, choice placement.Choice, now, elapsed time.Duration) {
-	serviceTime := elapsed - x.host.regionRTTs.rtt(s.Region) - choice.QueueWait
+	roundTripTime := x.host.regionRTTs.rtt(s.Region)
+	serviceTime := elapsed - roundTripTime - choice.QueueWait
 	if serviceTime > 0 && !choice.Queued {
-		s.recordSlowness(now, x.serviceTimes.observe(x.affinityKey != 0, serviceTime))
+		pace := x.maxPace(s, now-roundTripTime)
+		s.recordSlowness(now, x.serviceTimes.observe(x.affinityKey != 0, serviceTime, pace))
 	}
 }
 
--- a/host/entry/choose.go
+++ b/host/entry/choose.go
@@ -18,11 +18,12 @@
 	listed := v.services[x.service]
 	spillover := x.host.spillovers.update(now, x.service, listed)
 	servers, candidates := make([]*server, 0, len(listed)), make([]placement.Candidate, 0, len(listed))
+	warmTime, coldTime, meanTime := x.serviceTimes.estimates()
 	for _, s := range listed[:min(len(listed), maxCandidates)] {
 		if !x.isEligible(s) {
 			continue
 		}
-		candidate := s.candidate(now, x.affinityKey)
+		candidate := s.candidate(now, x.affinityKey, meanTime)
 		candidate.RoundTripTime = x.host.regionRTTs.rtt(s.Region)
 		candidate.Excluded = candidate.Excluded || slices.Contains(x.tried, s)
 		if !candidate.Excluded && s.isCold(now) {
@@ -33,7 +34,6 @@
 		}
 		servers, candidates = append(servers, s), append(candidates, candidate)
 	}
-	warmTime, coldTime, meanTime := x.serviceTimes.estimates()
 	request := placement.Request{
 		Sticky: x.affinityKey != 0, HomeRemote: spillover.HomeRemote(x.affinityKey),
 		WarmServiceTime: warmTime, ColdServiceTime: coldTime, MeanServiceTime: meanTime, Random: x.host.random,
--- a/host/entry/headers.go
+++ b/host/entry/headers.go
@@ -15,7 +15,7 @@
 	ExpectedServer string
 	// NotRun marks the response of a backend server that did not run the request.
 	NotRun string
-	// ServerLoad is a backend server's load report, "running,waiting,slots".
+	// ServerLoad is a backend server's load report, "running,waiting,slots" or "running,waiting,slots,pace".
 	ServerLoad string
 	// ServerLimit is the number of requests per second that a backend server takes from all hosts together.
 	ServerLimit string
--- a/host/entry/request.go
+++ b/host/entry/request.go
@@ -63,6 +63,8 @@
 	fallback *backends.Response
 	// server is the ID of the server of the last attempt.
 	server string
+	// attemptPace is the pace of the server of the last attempt when the attempt began.
+	attemptPace float64
 	// lastServer is the server of the last attempt, which began at attemptStarted.
 	lastServer     *server
 	attemptStarted time.Duration
--- a/host/entry/server.go
+++ b/host/entry/server.go
@@ -1,11 +1,10 @@
 package entry
 
 import (
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
+	"vanillatally/core/pace"
 	"vanillatally/core/placement"
 	"vanillatally/core/retry"
 	"vanillatally/io/platform"
@@ -48,10 +47,14 @@
 	// host's.
 	reportedLoad, inFlightAtReport int
 	reportedAt                     time.Duration
+	// pace is the last report of how long work takes on the server's machine. Its times are those at which a request has to be
+	// sent to reach the server then.
+	pace pace.Pace
 	// successRate is the moving average of results, from 0 to 1.
 	successRate   float64
 	successRateAt time.Duration
-	// slowness is the moving average of service times relative to the usual ones; 1 is usual.
+	// slowness is the moving average of service times relative to the usual ones; 1 is usual. It leaves out what the reported
+	// pace explains.
 	slowness    float64
 	slownessAt  time.Duration
 	downUntil   time.Duration
@@ -87,15 +90,17 @@
 	s.BackendServer = listed
 }
 
-// candidate describes the server for the choice of a server for affinityKey.
-func (s *server) candidate(now time.Duration, affinityKey uint64) placement.Candidate {
+// candidate describes the server for the choice of a server for affinityKey. work is the mean service time of the requests that
+// run at present.
+func (s *server) candidate(now time.Duration, affinityKey uint64, work time.Duration) placement.Candidate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	slowness := 1 + (s.slowness-1)*decay(now-s.slownessAt, scoreHalfLife)
 	candidate := placement.Candidate{
 		RendezvousWeight: placement.RendezvousWeight(affinityKey, s.hash), Local: s.sameRegion, Slots: s.Slots,
 		Outstanding:         s.outstanding(now),
 		SuccessRate:         1 - (1-s.successRate)*decay(now-s.successRateAt, scoreHalfLife),
-		RelativeServiceTime: 1 + (s.slowness-1)*decay(now-s.slownessAt, scoreHalfLife),
+		RelativeServiceTime: slowness * s.pace.Over(now, work),
 		Excluded:            now < s.downUntil || s.probing,
 	}
 	if at, ok := s.recentKeys[affinityKey]; ok && now-at < recentKeyTTL {
@@ -171,22 +176,22 @@
 	return pause
 }
 
-// recordLoad stores the server's load report, "running,waiting,slots". The request whose response carried it is no longer in
-// flight.
-func (s *server) recordLoad(now time.Duration, header string) {
-	running, rest, _ := strings.Cut(header, ",")
-	waiting, _, _ := strings.Cut(rest, ",")
-	r, err := strconv.Atoi(running)
-	if err != nil {
-		return
-	}
-	w, err := strconv.Atoi(waiting)
-	if err != nil {
-		return
+// recordLoad stores the server's load report. The request whose response carried it is no longer in flight.
+func (s *server) recordLoad(now, roundTripTime time.Duration, report loadReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reportedLoad, s.inFlightAtReport, s.reportedAt = report.running+report.waiting, s.inFlight, now
+	if report.pacePercent > 0 {
+		// The report was half a round trip on its way, and so is the next request.
+		s.pace = s.pace.WithReport(now-roundTripTime, report.pacePercent)
 	}
+}
+
+// paceAt returns the pace that a request meets which is sent to the server at the given time.
+func (s *server) paceAt(sent time.Duration) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reportedLoad, s.inFlightAtReport, s.reportedAt = max(r+w, 0), s.inFlight, now
+	return s.pace.At(sent)
 }
 
 // isCold reports whether the server is in the cold phase after its start, in which it may get few requests only.
--- a/host/entry/service_times.go
+++ b/host/entry/service_times.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"vanillatally/core/config"
+	"vanillatally/core/pace"
 )
 
 const (
@@ -70,19 +71,24 @@
 }
 
 // observe adds a measurement, and returns its ratio to the usual time of a warm or cold run. Requests that are not sticky
-// have no cold runs.
-func (t *routeServiceTimes) observe(sticky bool, serviceTime time.Duration) (ratio float64) {
+// have no cold runs. What the server's pace explains is left out of the measurement; the pace is at least 1.
+func (t *routeServiceTimes) observe(sticky bool, serviceTime time.Duration, serverPace float64) (ratio float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	measured := float64(serviceTime)
-	t.service.observe(serviceTime)
+	warmRun := !sticky || float64(serviceTime)/serverPace < t.warm+warmColdThreshold*(t.cold-t.warm)
+	usual := t.cold
+	if warmRun {
+		usual = t.warm
+	}
+	measured := pace.Normalize(float64(serviceTime), usual, serverPace)
+	t.service.observe(time.Duration(measured))
 	if !sticky {
 		ratio = measured / t.warm
 		t.warm += (measured - t.warm) * serviceTimeWeight
 		t.cold = t.warm
 		return ratio
 	}
-	if measured < t.warm+warmColdThreshold*(t.cold-t.warm) {
+	if warmRun {
 		ratio = measured / t.warm
 		t.warm += (measured - t.warm) * serviceTimeWeight
 		return ratio
