Let restarted hosts admit an equal share among the hosts that callers are sent to

Cause: with callers sent to few large hosts, a restarted host refused most requests for 3 s, since its share of a team's rate was 1 / all hosts: after 37 of 62 hosts lost power, 2,463 requests stayed unserved by 429 (641 when callers were spread over twice as many hosts).

Change: in the warm-up a host takes 1 / the hosts that look-ups name, counting hosts and failure domains that it has not discovered yet. Look-ups also name large hosts of the other failure domains of the region, after their own, so that callers have another one when both fail.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -36,18 +36,17 @@
 	minLargeShare = 1.0 / 3
 )
 
-// Choose returns the addresses of at most limit hosts for the callers: the large hosts of their failure domain or, if these are
-// too few, of their region. If no such hosts stand out, it returns hosts of the failure domain, of the region if the domain has
+// Choose returns the addresses of at most limit hosts for the callers: the large hosts of their region, those of their failure
+// domain first. If no such hosts stand out, it returns hosts of the failure domain, of the region if the domain has
 // fewer than minDomainHosts, or of all regions if the region has none, in the order of their addresses.
 func Choose(hosts []Host, limit int) []string {
 	slices.SortFunc(hosts, func(a, b Host) int { return cmp.Compare(a.Address, b.Address) })
 	domain := filter(hosts, func(h Host) bool { return h.SameDomain })
 	region := filter(hosts, func(h Host) bool { return h.SameRegion })
-	largest := largestCapacity(region)
-	for _, near := range [][]Host{domain, region} {
-		if large := largeHosts(near, largest); large != nil {
-			return addresses(large, limit)
-		}
+	if large := largeHosts(region); large != nil {
+		// Further hosts of the region keep serving the callers if those of their failure domain fail together.
+		slices.SortStableFunc(large, func(a, b Host) int { return boolCompare(b.SameDomain, a.SameDomain) })
+		return addresses(large, limit)
 	}
 	switch {
 	case len(domain) >= minDomainHosts:
@@ -59,7 +58,8 @@
 }
 
 // largeHosts returns the large ones of the hosts, or nil if all are large, or the large ones are too few to be used alone.
-func largeHosts(hosts []Host, largest Capacity) []Host {
+func largeHosts(hosts []Host) []Host {
+	largest := largestCapacity(hosts)
 	large := filter(hosts, func(h Host) bool { return h.Capacity.fraction(largest) >= largeHostFraction })
 	if len(large) < minLargeHosts || len(large) == len(hosts) || cores(large) < minLargeShare*cores(hosts) {
 		return nil
@@ -93,6 +93,17 @@
 	return sum
 }
 
+// boolCompare orders false before true.
+func boolCompare(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 func filter(hosts []Host, keep func(Host) bool) []Host {
 	return slices.DeleteFunc(slices.Clone(hosts), func(h Host) bool { return !keep(h) })
 }
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -33,7 +33,7 @@
 		{"unknown sizes", make([]Capacity, 5), make([]Capacity, 5), []string{"a00", "a01", "a02", "a03"}},
 		{"equal sizes", []Capacity{small, small, small}, []Capacity{small}, []string{"a00", "a01", "a02"}},
 		{"few equal hosts", []Capacity{small, small}, []Capacity{small}, []string{"a00", "a01", "b00"}},
-		{"two large hosts", []Capacity{small, small, large, small, large, small}, []Capacity{large}, []string{"a02", "a04"}},
+		{"two large hosts", []Capacity{small, small, large, small, large, small}, []Capacity{large, small}, []string{"a02", "a04", "b00"}},
 		{"one large host", []Capacity{small, large, small, small}, []Capacity{large, small}, []string{"a01", "b00"}},
 		{"no large host near", []Capacity{small, small, small, small}, []Capacity{large, large}, []string{"b00", "b01"}},
 		{"one large host in the region", []Capacity{small, small, small, large}, []Capacity{small}, []string{"a00", "a01", "a02", "a03"}},
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -51,6 +51,9 @@
 // warmupTime is how long a host runs before it knows the demand of all hosts.
 const warmupTime = 3 * time.Second
 
+// InWarmup reports whether a host does not know the demand of all hosts yet, age after its start.
+func InWarmup(age time.Duration) bool { return age < warmupTime }
+
 const (
 	// Demand above jumpFactor times the demand that all others know of, plus minJump requests per second, is a jump.
 	jumpFactor = 1.5
@@ -64,8 +67,19 @@
 // all of them know of it by now, and the sum of what they reported.
 type Demand struct{ Own, Reported, Known, Others float64 }
 
-// Fleet is what a host knows of the fleet: how many hosts may be running, and how many get requests, this one included.
-type Fleet struct{ Known, Active int }
+// Fleet is what a host knows of the fleet: how many hosts may be running, how many get requests, and how many callers are sent
+// to, this one included. Serving is needed in the warm-up only; 0 says that it is not known.
+type Fleet struct{ Known, Active, Serving int }
+
+// warmupShare returns the largest share of a host that does not know the demand of the others: an equal one among the hosts
+// that callers are sent to, since the others get few requests.
+func (f Fleet) warmupShare() float64 {
+	hosts := f.Known
+	if f.Serving > 0 {
+		hosts = min(hosts, f.Serving)
+	}
+	return 1 / float64(max(hosts, 1))
+}
 
 // noiseDeviations is the number of standard deviations by which a Rate varies without a change of the demand.
 const noiseDeviations = 1.5
@@ -94,8 +108,8 @@
 		own = min(own, d.Reported)
 	}
 	share := ByDemand(rate, own, d.Others, f.Active)
-	if age < warmupTime {
-		return min(share, 1/float64(max(f.Known, 1)))
+	if InWarmup(age) {
+		return min(share, f.warmupShare())
 	}
 	return share
 }
@@ -120,7 +134,7 @@
 // demand of all hosts is far below the limit, a host's bucket runs dry only because requests arrive unevenly. Refills repay
 // the overdraft, so that the sum over all hosts exceeds the limit only for as long as reports take.
 func Overdraft(age time.Duration, rate, share, demand float64) float64 {
-	if age < warmupTime || demand >= farBelowLimit*rate {
+	if InWarmup(age) || demand >= farBelowLimit*rate {
 		return 0
 	}
 	return max(minOverdraft, rate*share*overdraftTime.Seconds())
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -230,7 +231,7 @@
 	for _, own := range []float64{limit / hosts, 2 * reported, 6 * reported} {
 		total := 0.0
 		for range hosts {
-			total += ForHost(time.Minute, limit, Demand{Own: own, Reported: reported, Others: (hosts - 1) * reported}, Fleet{hosts, hosts})
+			total += ForHost(time.Minute, limit, Demand{Own: own, Reported: reported, Others: (hosts - 1) * reported}, Fleet{Known: hosts, Active: hosts})
 		}
 		if total > 1.05 {
 			t.Errorf("the shares of %d hosts with a demand of %.0f requests per second each sum to %.2f", hosts, own, total)
@@ -320,3 +321,26 @@
 	check(3*lag+time.Duration(2*maxReports), 7)
 	check(9*lag, 7)
 }
+
+// Guards against hosts that refuse requests for seconds after a restart, because they count many hosts that get no callers, and
+// against shares of restarted hosts that add up to more than one.
+func TestWarmupShareCountsServingHosts(t *testing.T) {
+	demand := Demand{Own: 100}
+	for _, c := range []struct {
+		name  string
+		fleet Fleet
+		want  float64
+	}{
+		{"serving hosts not known", Fleet{Known: 60, Active: 1}, 1.0 / 60},
+		{"few of the hosts serve callers", Fleet{Known: 60, Active: 1, Serving: 12}, 1.0 / 12},
+		{"more serving hosts than known ones", Fleet{Known: 8, Active: 1, Serving: 12}, 1.0 / 8},
+		{"none known", Fleet{}, 1},
+	} {
+		if got := ForHost(time.Second, 1000, demand, c.fleet); math.Abs(got-c.want) > 1e-9 {
+			t.Errorf("%s: share %v, want %v", c.name, got, c.want)
+		}
+	}
+	if got := ForHost(warmupTime, 1000, demand, Fleet{Known: 60, Active: 1, Serving: 12}); got <= 1.0/12 {
+		t.Errorf("after the warm-up, the share is still %v", got)
+	}
+}
--- a/host/entry/fleet.go
+++ b/host/entry/fleet.go
@@ -91,6 +91,9 @@
 	urgent bool
 	// wasDelegate is set if this host was a delegate in the last round.
 	wasDelegate bool
+	// serving is the last result of servingHosts, counted at servingAt.
+	serving   int
+	servingAt time.Duration
 }
 
 func newFleet(h *Host) *fleet {
--- a/host/entry/lookup.go
+++ b/host/entry/lookup.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"vanillatally/core/dispatch"
 )
@@ -9,24 +10,75 @@
 // lookup returns the caller addresses of the ready hosts that callers of the failure domain are sent to, at most as many as
 // configured.
 func (f *fleet) lookup(region, failureDomain string) []string {
-	now := f.host.now()
-	var hosts []dispatch.Host
-	add := func(inRegion, inDomain, address string, capacity dispatch.Capacity) {
+	return f.chooseHosts(f.readyHosts(f.host.now()), region, failureDomain)
+}
+
+// chooseHosts returns the caller addresses of those of the ready hosts that callers of the failure domain are sent to.
+func (f *fleet) chooseHosts(ready []member, region, failureDomain string) []string {
+	hosts := make([]dispatch.Host, 0, len(ready))
+	for _, m := range ready {
 		hosts = append(hosts, dispatch.Host{
-			Address: address, SameDomain: inDomain == failureDomain, SameRegion: inRegion == region, Capacity: capacity,
+			Address: m.CallerAddr, SameDomain: m.failureDomain == failureDomain, SameRegion: m.region == region, Capacity: m.capacity,
 		})
 	}
+	return dispatch.Choose(hosts, int(f.host.limits.Load().LookupHosts))
+}
+
+// readyHosts returns the ready hosts that are known by name, with this one.
+func (f *fleet) readyHosts(now time.Duration) (ready []member) {
 	if own := f.host.settings; f.host.ready() {
-		add(own.Region, own.FailureDomain, own.CallerAddress, f.host.capacity())
+		ready = append(ready, member{
+			Listed: Listed{Host: own.Host, CallerAddr: own.CallerAddress}, failureDomain: own.FailureDomain, region: own.Region,
+			capacity: f.host.capacity(),
+		})
 	}
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, m := range f.members(now) {
 		if m.State == Ready {
-			add(m.region, m.failureDomain, m.CallerAddr, m.capacity)
+			ready = append(ready, m)
 		}
 	}
+	return ready
+}
+
+// servingHostsTTL is the time for which the number of hosts that callers are sent to is kept.
+const servingHostsTTL = 50 * time.Millisecond
+
+// servingHosts returns an upper estimate of the number of hosts that callers are sent to, with this one. Addresses without a
+// known host, and failure domains of which nothing is known, count as hosts that serve callers.
+func (f *fleet) servingHosts(now time.Duration) int {
+	f.mu.Lock()
+	counted, at := f.serving, f.servingAt
 	f.mu.Unlock()
-	return dispatch.Choose(hosts, int(f.host.limits.Load().LookupHosts))
+	if counted > 0 && now-at < servingHostsTTL {
+		return counted
+	}
+	own := f.host.settings
+	ready := f.readyHosts(now)
+	serving := map[string]bool{own.CallerAddress: true}
+	undiscovered := 0
+	for failureDomain, region := range own.Regions {
+		f.mu.Lock()
+		d := f.domains[failureDomain]
+		known := failureDomain == own.FailureDomain || d != nil && d.primary(now, f.domainTimeout(failureDomain)) != nil
+		f.mu.Unlock()
+		if !known {
+			undiscovered += int(f.host.limits.Load().LookupHosts)
+		}
+		for _, address := range f.chooseHosts(ready, region, failureDomain) {
+			serving[address] = true
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, failureDomain := range f.unconfirmedAddresses {
+		if failureDomain == "" || failureDomain == own.FailureDomain {
+			undiscovered++
+		}
+	}
+	f.serving, f.servingAt = len(serving)+undiscovered, now
+	return f.serving
 }
 
 // capacity returns the capacity of this host's machine according to the settings.
--- a/host/entry/team_limits.go
+++ b/host/entry/team_limits.go
@@ -62,14 +62,17 @@
 	}
 	limiter := t.get(limits.Name)
 	othersDemand, busy := t.host.fleet.demand(now, limiter.hash)
-	known := t.host.fleet.possibleHosts()
+	size := share.Fleet{Known: t.host.fleet.possibleHosts(), Active: busy}
+	if share.InWarmup(now) {
+		size.Serving = t.host.fleet.servingHosts(now)
+	}
 	lag := t.host.fleet.reportLag()
 	limiter.mu.Lock()
 	defer limiter.mu.Unlock()
 	ownDemand := limiter.demand.At(now)
 	fraction := share.ForHost(now, limits.Rate, share.Demand{
 		Own: ownDemand, Reported: limiter.reports.Latest(), Known: limiter.reports.Known(now, lag), Others: othersDemand,
-	}, share.Fleet{Known: known, Active: busy})
+	}, size)
 	limiter.demand = limiter.demand.WithEvent(now)
 	capacity := max(minBucketCapacity, (limits.Burst+rateSlackFraction*t.host.limits.Load().RateSlack)*fraction)
 	if !limiter.bucketStarted {
