Send a request again to a server that refuses it although it has room

Change: after a refusal with a free slot and nothing waiting, the server may get the request again (four attempts in all, within the retry budget), and Retry-After is 30 to 90 ms.

--- a/host/entry/answer.go
+++ b/host/entry/answer.go
@@ -74,7 +74,7 @@
 		metrics.Count("requests", team, x.routeName, "status="+strconv.Quote(strconv.Itoa(x.status)), 1)
 		if x.status < http.StatusInternalServerError {
 			x.host.log.Emit(events.RequestServed, "request", x.id, "team", team, "route", x.routeName, "server", x.server,
-				"status", x.status, "tries", len(x.tried)+1, "expected", x.expectedLatency, "took", elapsed)
+				"status", x.status, "tries", x.attempts+1, "expected", x.expectedLatency, "took", elapsed)
 			return
 		}
 	}
@@ -88,7 +88,7 @@
 	metrics.Count("refusals", team, x.routeName, "reason="+strconv.Quote(reason), 1)
 	x.host.log.EmitRateLimited(events.RequestRefused, reason, append(x.logAttributes,
 		"request", x.id, "team", team, "route", x.routeName, "service", x.service, "server", x.server,
-		"reason", reason, "ran", ran, "status", status, "tries", len(x.tried), "expected", x.expectedLatency,
+		"reason", reason, "ran", ran, "status", status, "tries", x.attempts, "expected", x.expectedLatency,
 		"left", x.timeLeft(), "took", elapsed, "sequence", x.configurationSequence())...)
 }
 
--- a/host/entry/attempt.go
+++ b/host/entry/attempt.go
@@ -16,11 +16,17 @@
 // minAttemptTime is the time that must be left before the deadline for a request to be sent to a server.
 const minAttemptTime = 20 * time.Millisecond
 
-// attemptResult is the result of one attempt. Exactly one field is set: response goes to the caller, final ends the request,
-// and after retryable the request may be sent to another server.
+// refusedWithRoomRetryAfter is the mean Retry-After of a request that was refused by a server with a free slot: there is no
+// overload that has to end first.
+const refusedWithRoomRetryAfter = 60 * time.Millisecond
+
+// attemptResult is the result of one attempt. Exactly one of the first fields is set: response goes to the caller, final ends
+// the request, and after retryable the request may be sent to another server.
 type attemptResult struct {
 	response         *backends.Response
 	final, retryable *callers.Refusal
+	// mayRepeat is set if the request may also be sent to the same server again.
+	mayRepeat bool
 }
 
 // attempt sends the request to one server and waits for the response.
@@ -133,9 +139,16 @@
 	}
 	s.recordRefusal(now)
 	x.host.serverLimits.recordResponse(now, s, response.Header, false)
-	return attemptResult{
+	result := attemptResult{
 		retryable: callers.Refuse(http.StatusServiceUnavailable, "shed", "the backend server is full").WithRetryAfter(shortRetryAfter),
 	}
+	if report, invalid := parseLoadReport(response.Header.Get(x.host.headerNames.ServerLoad)); invalid == "" && report.hasFreeSlot() {
+		// The server refuses some requests although it has room. Another server would probably refuse as often, and run the request
+		// without its data cached.
+		result.mayRepeat = true
+		result.retryable = result.retryable.WithRetryAfter(x.host.jitter(refusedWithRoomRetryAfter))
+	}
+	return result
 }
 
 // recordLoad stores the load report of a response, or the part of it that is valid.
--- a/host/entry/load_report.go
+++ b/host/entry/load_report.go
@@ -10,11 +10,14 @@
 // loadReport is a backend server's load report, "running,waiting,slots" with an optional fourth figure, the pace: how long work
 // currently takes on the server's machine, in percent of the usual time.
 type loadReport struct {
-	running, waiting int
+	running, waiting, slots int
 	// pacePercent is 0 if the report has no pace.
 	pacePercent int
 }
 
+// hasFreeSlot reports whether the server can run another request at once.
+func (r loadReport) hasFreeSlot() bool { return r.waiting == 0 && r.running < r.slots }
+
 // invalidPart is the part of a load report that is ignored.
 type invalidPart string
 
@@ -44,7 +47,7 @@
 	if count < len(figures)-1 {
 		return loadReport{}, invalidReport
 	}
-	report = loadReport{running: figures[0], waiting: figures[1]}
+	report = loadReport{running: figures[0], waiting: figures[1], slots: figures[2]}
 	if count < len(figures) {
 		return report, ""
 	}
--- a/host/entry/pace_simulation_test.go
+++ b/host/entry/pace_simulation_test.go
@@ -144,7 +144,7 @@
 // report lets a host see a server's load report.
 func (f *paceFleet) report(now time.Duration, host, index int) {
 	s := f.servers[index]
-	report := loadReport{running: len(s.running), waiting: len(s.waiting)}
+	report := loadReport{running: len(s.running), waiting: len(s.waiting), slots: s.slots}
 	if f.reportsPace {
 		report.pacePercent = int(100 * f.pace(now, s))
 	}
--- a/host/entry/pace_test.go
+++ b/host/entry/pace_test.go
@@ -15,13 +15,13 @@
 		want    loadReport
 		invalid invalidPart
 	}{
-		{"1,2,4", loadReport{running: 1, waiting: 2}, ""},
-		{" 1 , 2,4 ", loadReport{running: 1, waiting: 2}, ""},
-		{"1,2,4,250", loadReport{running: 1, waiting: 2, pacePercent: 250}, ""},
-		{"1, 2, 4, 10", loadReport{running: 1, waiting: 2, pacePercent: 10}, ""},
-		{"1,2,4,10000", loadReport{running: 1, waiting: 2, pacePercent: 10_000}, ""},
-		{"1,2,4,9", loadReport{running: 1, waiting: 2}, invalidPace},
-		{"1,2,4,10001", loadReport{running: 1, waiting: 2}, invalidPace},
+		{"1,2,4", loadReport{running: 1, waiting: 2, slots: 4}, ""},
+		{" 1 , 2,4 ", loadReport{running: 1, waiting: 2, slots: 4}, ""},
+		{"1,2,4,250", loadReport{running: 1, waiting: 2, slots: 4, pacePercent: 250}, ""},
+		{"1, 2, 4, 10", loadReport{running: 1, waiting: 2, slots: 4, pacePercent: 10}, ""},
+		{"1,2,4,10000", loadReport{running: 1, waiting: 2, slots: 4, pacePercent: 10_000}, ""},
+		{"1,2,4,9", loadReport{running: 1, waiting: 2, slots: 4}, invalidPace},
+		{"1,2,4,10001", loadReport{running: 1, waiting: 2, slots: 4}, invalidPace},
 		{"", loadReport{}, invalidReport},
 		{"1", loadReport{}, invalidReport},
 		{"1,2", loadReport{}, invalidReport},
--- a/host/entry/request.go
+++ b/host/entry/request.go
@@ -24,8 +24,8 @@
 	shortRetryAfter = 300 * time.Millisecond
 	// maxRetryAfter bounds Retry-After, since callers wait for only a fraction of their remaining time.
 	maxRetryAfter = 2 * time.Second
-	// maxServersTried bounds the number of servers that one request is sent to, including those that refused to run it.
-	maxServersTried = 4
+	// maxAttempts bounds the number of times that one request is sent to a server, including those that refused to run it.
+	maxAttempts = 4
 	// drainResponseMargin is the time that a draining host reserves for passing on its last responses.
 	drainResponseMargin = 100 * time.Millisecond
 	// statusClientClosedRequest is logged when the caller closed the connection; the caller does not receive it.
@@ -55,8 +55,10 @@
 	fingerprint  uint64
 	serviceTimes *routeServiceTimes
 	versionFilter
-	// tried holds the servers of the earlier attempts.
+	// tried holds the servers of earlier attempts that must not get the request again.
 	tried []*server
+	// attempts counts the attempts, including those that ended without a run.
+	attempts int
 	// possibleRuns counts the servers that may have run the request.
 	possibleRuns int
 	// fallback is the error response of a server, which the caller gets if no other server gives a better response.
@@ -282,7 +284,7 @@
 		if !x.host.reserve(v, s, x.host.now()) {
 			continue
 		}
-		if len(x.tried) > 0 && !x.host.retryBudgets.allowRetry(x.service) {
+		if x.attempts > 0 && !x.host.retryBudgets.allowRetry(x.service) {
 			return x.fail(callers.Refuse(http.StatusServiceUnavailable, "retry-budget", "too many requests are being retried").
 				WithRetryAfter(shortRetryAfter))
 		}
@@ -294,8 +296,11 @@
 		case result.final != nil:
 			return x.fail(result.final)
 		}
-		x.tried = append(x.tried, s)
-		if len(x.tried) == maxServersTried || x.possibleRuns >= x.maxRuns() {
+		x.attempts++
+		if !result.mayRepeat {
+			x.tried = append(x.tried, s)
+		}
+		if x.attempts == maxAttempts || x.possibleRuns >= x.maxRuns() {
 			return x.fail(result.retryable)
 		}
 	}
@@ -312,6 +317,11 @@
 		WithRetryAfter(shortRetryAfter)
 }
 
+// jitter returns a random duration between half and one and a half times the mean, so that callers do not return together.
+func (h *Host) jitter(mean time.Duration) time.Duration {
+	return time.Duration((0.5 + h.random()) * float64(mean))
+}
+
 // maxRuns returns the number of servers that may run the request.
 func (x *exchange) maxRuns() int {
 	if !x.idempotent {
