--- a/core/waiting/order.go
+++ b/core/waiting/order.go
@@ -11,7 +11,9 @@
 	// startMemory is the time constant with which the starts of a team are forgotten: an idle team saves up no more turns than
 	// it would get in about that time.
 	startMemory = 2 * time.Second
-	// maxEpochAge bounds the exponent of startUnit.
+	// shareMemory is the time constant with which the arrivals and starts of a rank are forgotten.
+	shareMemory = 10 * time.Second
+	// maxEpochAge bounds the exponent of Line.unit.
 	maxEpochAge = 100 * startMemory
 	// forgottenStarts is the number of recent starts below which the account of a team without requests is dropped first.
 	forgottenStarts = 0.05
@@ -33,7 +35,7 @@
 	weight float64
 	// tickets has the team's answerable requests in no order.
 	tickets []*Ticket[T]
-	// started is the number of recent starts, in units of startUnit.
+	// started is the number of recent starts, in units of Line.unit.
 	started float64
 }
 
@@ -42,19 +44,22 @@
 	return int(math.Round(classesPerDoubling * (math.Log2(min(worth, math.MaxFloat64)) - math.Log2(max(work, minWork).Seconds()))))
 }
 
-// startUnit is what a start now adds to a team's account. It grows exponentially, so that earlier starts count for less in
-// comparison and no account has to be changed as time passes.
-func (l *Line[T]) startUnit(now time.Duration) float64 {
-	if now-l.epoch > maxEpochAge {
-		scale := math.Exp(-float64(now-l.epoch) / float64(startMemory))
+// unit is what a start or arrival now adds to a count with that time constant. It grows exponentially, so that earlier ones
+// count for less in comparison and no count has to be changed as time passes.
+func (l *Line[T]) unit(now, memory time.Duration) float64 {
+	if age := now - l.epoch; age > maxEpochAge {
 		for _, r := range l.ranks {
+			scale := math.Exp(-float64(age) / float64(shareMemory))
+			r.arrived *= scale
+			r.started *= scale
+			scale = math.Exp(-float64(age) / float64(startMemory))
 			for _, t := range r.teams {
 				t.started *= scale
 			}
 		}
 		l.epoch = now
 	}
-	return math.Exp(float64(now-l.epoch) / float64(startMemory))
+	return math.Exp(float64(now-l.epoch) / float64(memory))
 }
 
 // teamOf returns the team's account in the rank, a new one if there is none.
@@ -73,7 +78,7 @@
 
 // forgetTeams drops the accounts of teams without requests and recent starts, or else those with the fewest starts.
 func (l *Line[T]) forgetTeams(now time.Duration) {
-	limit := forgottenStarts * l.startUnit(now)
+	limit := forgottenStarts * l.unit(now, startMemory)
 	fewest := math.Inf(1)
 	for _, r := range l.ranks {
 		for _, t := range r.teams {
@@ -109,7 +114,8 @@
 }
 
 // compare orders the requests of one team: higher worth per Work, then those that can still meet their objective, the earliest
-// first. Those that can't are ordered by their deadlines.
+// first. Of the others, the one with the latest deadline starts first: under a lasting overload, the earliest deadline first
+// would start each at its last moment, so that every underestimate of Work makes a response late.
 func (a *Ticket[T]) compare(b *Ticket[T], now time.Duration) int {
 	if a.class != b.class {
 		return b.class - a.class
@@ -123,7 +129,7 @@
 	case aInTime && a.request.Objective != b.request.Objective:
 		return cmp.Compare(a.request.Objective, b.request.Objective)
 	case !aInTime && a.request.Deadline != b.request.Deadline:
-		return cmp.Compare(a.request.Deadline, b.request.Deadline)
+		return cmp.Compare(b.request.Deadline, a.request.Deadline)
 	}
 	return cmp.Compare(a.sequence, b.sequence)
 }
@@ -136,7 +142,7 @@
 		return l.late[0]
 	}
 	r := l.lowestUnreserved()
-	unit := l.startUnit(now)
+	unit := l.unit(now, startMemory)
 	var most *team[T]
 	var mostShare float64
 	for _, t := range r.teams {
--- a/core/waiting/waiting.go
+++ b/core/waiting/waiting.go
@@ -90,6 +90,9 @@
 	waiting, answerable int
 	// turn is the value of Line.starts after the rank's last start, or when its requests began to wait if that was later.
 	turn uint64
+	// arrived and started count the recent requests that could be answered in time when they arrived, and the recent starts, in
+	// units of Line.unit.
+	arrived, started float64
 }
 
 // New returns an empty line.
@@ -150,8 +153,9 @@
 	ticket := t.best(now)
 	l.starts++
 	r.turn = l.starts
+	r.started += l.unit(now, shareMemory)
 	l.turns = append(slices.DeleteFunc(l.turns, func(other *rank[T]) bool { return other == r }), r)
-	t.started += l.startUnit(now)
+	t.started += l.unit(now, startMemory)
 	l.Remove(ticket)
 	return ticket.request.Value, true
 }
@@ -200,6 +204,7 @@
 		l.late = append(l.late, ticket)
 		return
 	}
+	r.arrived += l.unit(now, shareMemory)
 	t := l.teamOf(now, r, ticket.request.Team)
 	t.weight = ticket.request.Weight
 	ticket.team, ticket.index = t, len(t.tickets)
@@ -282,19 +287,3 @@
 		l.ranks = slices.Delete(l.ranks, i, i+1)
 	}
 }
-
-// nextRank returns the rank of the next start. Usually it is the highest one with answerable requests. It is the one that has
-// waited for the most starts if one of the waiting ranks would otherwise be without a start for more than lowerRankEvery. With
-// lowerRankEvery ranks and more they take turns.
-func (l *Line[T]) nextRank() *rank[T] {
-	highest := l.turns[0]
-	for i, r := range l.turns {
-		if l.starts+uint64(i)+1 >= r.turn+lowerRankEvery {
-			return l.turns[0]
-		}
-		if r.number < highest.number {
-			highest = r
-		}
-	}
-	return highest
-}
