Let ranked requests wait at the host for a slot

Cause: hosts sent all admitted requests at once, and the queues of servers are first come, first served, so that urgent requests waited behind less urgent ones.

Change: for services whose requests differ in rank, a host has only so many requests at the servers at once as their queues allow within the latency objectives (core/concurrency, from the load reports of responses, without messages between hosts). The others wait in core/waiting for at most half of their objective and are then refused as not run. Other services are served as before.

--- a/host/entry/attempt.go
+++ b/host/entry/attempt.go
@@ -42,6 +42,7 @@
 	observation := x.host.observe(v, s, x.routeName, x.slowThreshold(s, choice))
 	response, failure := x.host.client.Do(x.context, s.Address, request)
 	s.requestEnded()
+	x.leaveLine(response)
 	defer observation.close()
 	now := x.host.now()
 	if failure != nil {
--- a/host/entry/host.go
+++ b/host/entry/host.go
@@ -76,6 +76,7 @@
 	queuePressures    queuePressures
 	serverLimits      serverLimits
 	coldNotices       coldNotices
+	waitingLines      waitingLines
 
 	// random returns uniform numbers in [0, 1) for choices between equal servers; tests replace it.
 	random func() float64
@@ -89,7 +90,9 @@
 	mu sync.Mutex
 	// The fields below are guarded by mu.
 	configuration *config.Configuration
-	servers       map[string]*server
+	// ranked holds the services of the configuration whose requests differ in rank. It is replaced, never changed.
+	ranked  map[string]bool
+	servers map[string]*server
 	// unlisted holds the servers that are no longer listed but still used.
 	unlisted      map[string]bool
 	evacuated     map[string]bool
@@ -150,6 +153,7 @@
 	h.teams.host = h
 	h.serverLimits = serverLimits{host: h, entries: map[incarnation]*serverLimit{}}
 	h.coldNotices = coldNotices{host: h, entries: map[incarnation]*coldNotice{}}
+	h.waitingLines = waitingLines{host: h, entries: map[string]*waitingLine{}}
 	h.retryBudgets = retryBudgets{host: h, entries: map[string]retry.Budget{}}
 	h.trafficSplits.credits = map[splitKey]float64{}
 	h.regionRTTs = regionRTTs{ownRegion: o.Settings.Region, entries: map[string]time.Duration{}}
--- a/host/entry/request.go
+++ b/host/entry/request.go
@@ -54,6 +54,9 @@
 	// fingerprint is the result of computeFingerprint, by which the crash tracker recognizes the request.
 	fingerprint  uint64
 	serviceTimes *routeServiceTimes
+	// line admits the requests of the service; nil if they are not ranked. inLine is set while the request has a slot there.
+	line   *waitingLine
+	inLine bool
 	versionFilter
 	// tried holds the servers of earlier attempts that must not get the request again.
 	tried []*server
@@ -252,6 +255,10 @@
 // forward sends the request to one server after the other until one answers, an attempt must not be repeated, or a limit is
 // reached.
 func (x *exchange) forward() error {
+	defer x.leaveLine(nil)
+	if refusal := x.enterLine(x.host.view.Load()); refusal != nil {
+		return refusal
+	}
 	for {
 		if (x.idempotent || x.possibleRuns == 0) && callers.Disconnected(x.r.Context()) {
 			return x.fail(callers.Refuse(statusClientClosedRequest, "caller-gone", "the caller has left"))
@@ -288,6 +295,7 @@
 			return x.fail(callers.Refuse(http.StatusServiceUnavailable, "retry-budget", "too many requests are being retried").
 				WithRetryAfter(shortRetryAfter))
 		}
+		x.reenterLine()
 		x.expectedLatency, x.server, x.lastServer = choice.ExpectedLatency, s.ID, s
 		result := x.attempt(v, s, choice)
 		switch {
--- a/host/entry/view.go
+++ b/host/entry/view.go
@@ -27,12 +27,17 @@
 	// evacuated holds the failure domains that get no requests.
 	evacuated map[string]bool
 	rollouts  map[string]*runningRollout
+	// slots holds the number of slots of the usable servers of each service.
+	slots map[string]int
+	// ranked holds the services whose requests differ in rank.
+	ranked map[string]bool
 }
 
 // publishView replaces the view by one of the current state. The caller holds h.mu.
 func (h *Host) publishView() {
 	next := &view{
 		configuration: h.configuration, services: map[string][]*server{}, evacuated: h.evacuated, rollouts: maps.Clone(h.rollouts),
+		slots: map[string]int{}, ranked: h.ranked,
 	}
 	for _, id := range slices.Sorted(maps.Keys(h.servers)) {
 		s := h.servers[id]
@@ -40,6 +45,7 @@
 			continue
 		}
 		next.services[s.Service] = append(next.services[s.Service], s)
+		next.slots[s.Service] += s.Slots
 	}
 	h.view.Store(next)
 	if h.configuration != nil && h.serversListed {
@@ -61,6 +67,8 @@
 	h.configuration = c
 	h.serviceTimes.prune(c)
 	h.trafficSplits.reset()
+	h.ranked = rankedServices(c)
+	h.waitingLines.prune(h.ranked)
 	h.publishView()
 	h.log.Emit(events.ConfigApplied, "sequence", c.Sequence, "routes", len(c.Routes), "teams", len(c.Teams))
 }
--- /dev/null
+++ b/host/entry/waiting_line.go
@@ -0,0 +1,252 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"vanillatally/core/concurrency"
+	"vanillatally/core/config"
+	"vanillatally/core/share"
+	"vanillatally/core/waiting"
+	"vanillatally/io/backends"
+	"vanillatally/io/callers"
+)
+
+// waitFraction is the part of a route's latency objective for which a request may wait at a host. A request that has not started
+// by then is refused while its caller can still come back in time.
+const waitFraction = 0.5
+
+// waitingLines holds a line for each service whose requests have several ranks. Without ranks, a request that waits here would
+// only wait in another place than at the server.
+type waitingLines struct {
+	host *Host
+	mu   sync.Mutex
+	// entries holds at most one line for each service of the configuration.
+	entries map[string]*waitingLine
+}
+
+// waitingLine admits the requests of one service to its backend servers: as many at once as the concurrency limit allows, the
+// others wait in the order of their ranks.
+type waitingLine struct {
+	mu       sync.Mutex
+	limit    concurrency.Limit
+	inFlight int
+	line     *waiting.Line[*waiter]
+	// started is the rate of the requests that were sent.
+	started share.Rate
+}
+
+// waiter is a waiting request.
+type waiter struct {
+	// decided is closed when the request may start or is refused; started says which. started is guarded by waitingLine.mu until
+	// then.
+	decided chan struct{}
+	started bool
+}
+
+// rankedServices returns the services whose requests differ in rank, by the priorities of routes and teams.
+func rankedServices(c *config.Configuration) map[string]bool {
+	ranks := map[string]map[int]bool{}
+	add := func(service string, rank int) {
+		if ranks[service] == nil {
+			ranks[service] = map[int]bool{}
+		}
+		ranks[service][rank] = true
+	}
+	for _, route := range c.Routes {
+		if len(route.Split) == 0 {
+			add(route.Service, route.Priority)
+		}
+		for _, part := range route.Split {
+			add(part.Service, route.Priority)
+		}
+		for _, team := range c.Teams {
+			if team.Priority > 0 {
+				add(route.Service, team.Priority)
+			}
+		}
+	}
+	ranked := map[string]bool{}
+	for service, found := range ranks {
+		ranked[service] = len(found) > 1
+	}
+	return ranked
+}
+
+// forService returns the line of the service, or nil if its requests don't differ in rank.
+func (l *waitingLines) forService(v *view, service string) *waitingLine {
+	if !v.ranked[service] {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	line := l.entries[service]
+	if line == nil {
+		// Each failure domain has at least one host that callers are sent to.
+		hosts := len(l.host.settings.Regions)
+		line = &waitingLine{limit: concurrency.New(v.slots[service], hosts), line: waiting.New[*waiter](waiting.Limits{})}
+		l.entries[service] = line
+	}
+	line.setSlots(v.slots[service])
+	return line
+}
+
+// prune removes the lines of services that the configuration no longer ranks. Requests that wait there still end at their
+// deadlines.
+func (l *waitingLines) prune(ranked map[string]bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for service := range l.entries {
+		if !ranked[service] {
+			delete(l.entries, service)
+		}
+	}
+}
+
+// setSlots sets the number of slots of all servers of the service.
+func (l *waitingLine) setSlots(slots int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limit = l.limit.WithSlots(slots)
+}
+
+// enter waits until the request may be sent. It returns a refusal if the request cannot be answered in time, or has to make room
+// for others. Each call that returns nil must be followed by one of leave.
+func (l *waitingLine) enter(ctx context.Context, x *exchange, request waiting.Request[*waiter]) *callers.Refusal {
+	h := x.host
+	w := &waiter{decided: make(chan struct{})}
+	request.Value = w
+	l.mu.Lock()
+	now := h.now()
+	l.refuse(l.line.Expired(now))
+	ticket, evicted := l.line.Push(now, request)
+	l.refuse(evicted)
+	l.startNext(now)
+	depth := l.line.Len()
+	l.mu.Unlock()
+	select {
+	case <-w.decided:
+	default:
+		h.metrics.Count("requests-queued", "", x.routeName, "", 1)
+		timer := time.NewTimer(time.Duration(waitFraction * float64(latencyObjective(x.route))))
+		defer timer.Stop()
+		select {
+		case <-w.decided:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		h.metrics.Observe("queue-wait", "", x.routeName, "host", h.now()-now)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if w.started {
+		return nil
+	}
+	if ticket != nil {
+		l.line.Remove(ticket)
+	}
+	after := l.line.RetryAfter(h.now(), request.Rank, l.started.At(h.now()), h.random())
+	x.logAttributes = append(x.logAttributes, "rank", request.Rank, "queued", depth, "limit", l.limit.Value(), "in-flight", l.inFlight)
+	return callers.Refuse(http.StatusServiceUnavailable, "no-slot", "no backend server has a free slot in time").
+		WithRetryAfter(min(after, maxRetryAfter))
+}
+
+// reenter counts a request that is sent again after an attempt.
+func (l *waitingLine) reenter() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inFlight++
+}
+
+// leave counts the end of an attempt, updates the limit with the server's report, and starts waiting requests. report is nil if
+// there was none.
+func (l *waitingLine) leave(now time.Duration, report *concurrency.Response) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if report != nil {
+		l.limit = l.limit.WithResponse(*report, l.inFlight)
+	}
+	l.inFlight--
+	l.refuse(l.line.Expired(now))
+	l.startNext(now)
+}
+
+// startNext starts waiting requests while the limit allows. The caller holds l.mu.
+func (l *waitingLine) startNext(now time.Duration) {
+	for l.limit.Allows(l.inFlight) {
+		w, ok := l.line.Next(now)
+		if !ok {
+			return
+		}
+		w.started = true
+		close(w.decided)
+		l.inFlight++
+		l.started = l.started.WithEvent(now)
+	}
+}
+
+// refuse ends the wait of requests that left the line without a start. The caller holds l.mu.
+func (l *waitingLine) refuse(refused []*waiter) {
+	for _, w := range refused {
+		close(w.decided)
+	}
+}
+
+// rank returns the request's rank; a team's priority takes precedence over the route's.
+func (x *exchange) rank() int {
+	if x.team != nil && x.team.Priority > 0 {
+		return x.team.Priority
+	}
+	return x.route.Priority
+}
+
+// enterLine waits for a slot of the service if its requests are ranked. leaveLine must follow, also after a refusal.
+func (x *exchange) enterLine(v *view) *callers.Refusal {
+	x.line = x.host.waitingLines.forService(v, x.service)
+	if x.line == nil {
+		return nil
+	}
+	now := x.host.now()
+	work, _, _ := x.serviceTimes.estimates()
+	request := waiting.Request[*waiter]{
+		Rank: x.rank(), Work: work, Objective: now + latencyObjective(x.route) - time.Since(x.received),
+		Deadline: now + time.Until(x.deadline),
+	}
+	if x.team != nil {
+		request.Team, request.Weight = x.team.Name, x.team.Rate
+	}
+	refusal := x.line.enter(x.r.Context(), x, request)
+	x.inLine = refusal == nil
+	return refusal
+}
+
+// reenterLine takes a slot for another attempt without a wait.
+func (x *exchange) reenterLine() {
+	if x.line != nil && !x.inLine {
+		x.line.reenter()
+		x.inLine = true
+	}
+}
+
+// leaveLine gives the slot back, if the request has one. response is nil if no server has answered.
+func (x *exchange) leaveLine(response *backends.Response) {
+	if !x.inLine {
+		return
+	}
+	x.inLine = false
+	var seen *concurrency.Response
+	if response != nil && response.Status != http.StatusMisdirectedRequest {
+		if report, invalid := parseLoadReport(response.Header.Get(x.host.headerNames.ServerLoad)); invalid != invalidReport {
+			rejected := response.Header.Get(x.host.headerNames.NotRun) != ""
+			warm, _, mean := x.serviceTimes.estimates()
+			seen = &concurrency.Response{
+				Wait:    mean * time.Duration(report.waiting) / time.Duration(max(report.slots, 1)),
+				Allowed: latencyObjective(x.route) - warm,
+				Full:    rejected && !report.hasFreeSlot(),
+			}
+		}
+	}
+	x.line.leave(x.host.now(), seen)
+}
