Refuse responses whose status is not 200 to 599

Cause: io/backends skipped informational responses and checked no other range. net/http panics when it writes a status below 100 or above 999, so that a server's 000, 001, 099 or +20 broke the caller's connection without a response; 600 and 999 were passed on. A malformed response with the header that says "not run" was believed: a request that must run once was sent to a second server.

Change: checkStatus in io/backends/status.go decides for both programs which status is a response: three digits, no sign, 200 to 599. Any other status, and a 101 that nobody asked for, is CauseMalformed: the connection is closed, the server's success rate falls, the caller gets a complete 502 that says "unknown", and an idempotent request may be sent elsewhere. The same rule applies to a response that a host stored with a claim.

--- a/host/request/claim.go
+++ b/host/request/claim.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"vanillatally/core/claim"
+	"vanillatally/io/backends"
 	"vanillatally/io/callers"
 )
 
@@ -64,7 +65,7 @@
 func (x *exchange) answerFromClaim(answer claim.Answer) error {
 	switch answer.State {
 	case claim.Done:
-		if answer.Result != nil && answer.Result.Status != 0 {
+		if answer.Result != nil && backends.IsResponseStatus(answer.Result.Status) {
 			x.replayResponse(answer.Result)
 			return nil
 		}
--- a/io/backends/exchange.go
+++ b/io/backends/exchange.go
@@ -215,7 +215,8 @@
 // maxDuplicateBytes is the longest duplicate response that is skipped.
 const maxDuplicateBytes = 1 << 20
 
-// readHeaders reads the status line and headers, skips informational (1xx) responses and checks the echoed request ID.
+// readHeaders reads the status line and headers, skips informational (1xx) responses and checks the status and the echoed
+// request ID.
 func (c *Client) readHeaders(ctx context.Context, conn *connection, r *Request) (*http.Response, *Failure) {
 	earlier, sentID := conn.recentIDs, r.HTTP.Header.Get(c.options.RequestIDHeader)
 	conn.recentIDs.add(sentID)
@@ -230,7 +231,11 @@
 			}
 			return nil, classify(ctx, err, true, cause)
 		}
-		if head.StatusCode >= 100 && head.StatusCode < 200 && head.StatusCode != http.StatusSwitchingProtocols {
+		informational, err := checkStatus(head)
+		if err != nil {
+			return nil, &Failure{Cause: CauseMalformed, Sent: true, Err: err}
+		}
+		if informational {
 			continue
 		}
 		if id := head.Header.Get(c.options.RequestIDHeader); id != sentID && earlier.contains(id) {
@@ -245,8 +250,7 @@
 		}
 		// A close-delimited body has no length to check its completeness against.
 		closeDelimited := head.ContentLength < 0 && len(head.TransferEncoding) == 0
-		if closeDelimited && !c.options.AllowCloseDelimited || head.ProtoMajor != 1 || head.ProtoMinor < 1 ||
-			head.StatusCode == http.StatusSwitchingProtocols {
+		if closeDelimited && !c.options.AllowCloseDelimited || head.ProtoMajor != 1 || head.ProtoMinor < 1 {
 			return nil, &Failure{Cause: CauseMalformed, Sent: true, Err: errors.New("the response is not HTTP/1.1 with a stated length")}
 		}
 		return head, nil
