Release what a request holds when its handler panics

Cause: in-flight counts, the slots of a service, assigned requests, open claims and connections to servers were released after a call, not deferred. A panic kept them for ever.

Change: the releases are deferred. A connection whose exchange or dial panics is closed and does not count as open. A response that the handler does not read to its end is closed. A claim whose handler panics is finished with an unknown outcome. The panic of a hedged attempt is passed to the goroutine that serves the request; if that one panics first, the hedged attempt is ended before the handler returns, so that it cannot write to a finished response.

--- a/host/entry/answer.go
+++ b/host/entry/answer.go
@@ -15,6 +15,8 @@
 // writeResponse passes a server's response on to the caller. It returns errResponseAborted if the response cannot be
 // completed.
 func (x *exchange) writeResponse(response *backends.Response) error {
+	// Closes the server's connection if the response was not read to its end, also when a write panics.
+	defer discardResponse(response)
 	x.status = response.Status
 	callers.StripHopByHopHeaders(response.Header)
 	header := x.w.Header()
@@ -32,14 +34,12 @@
 	}
 	x.w.WriteHeader(response.Status)
 	if _, err := x.w.Write(response.Body); err != nil && bodyAllowed {
-		discardResponse(response)
 		return errResponseAborted
 	}
 	if response.RemainingBody == nil {
 		return nil
 	}
 	if err := callers.Stream(x.w, response.RemainingBody); err != nil {
-		discardResponse(response)
 		x.recordIncompleteResponse(err)
 		return errResponseAborted
 	}
--- a/host/entry/attempt.go
+++ b/host/entry/attempt.go
@@ -24,28 +24,42 @@
 }
 
 // attempt sends the request to one server and waits for the response.
-func (x *exchange) attempt(v *view, s *server, choice placement.Choice) attemptResult {
+func (x *exchange) attempt(v *view, s *server, choice placement.Choice) (result attemptResult) {
 	timeLeft := time.Until(x.deadline)
 	if timeLeft < minAttemptTime {
 		return attemptResult{final: deadlineExceeded()}
 	}
 	started := x.host.now()
 	x.attemptStarted = started
-	s.requestStarted(started, x.affinityKey)
 	request := &backends.Request{HTTP: x.newServerRequest(s, timeLeft), ID: x.id, Deadline: x.deadline}
 	observation := x.host.observe(v, s, x.routeName, x.slowThreshold(s, choice))
-	response, failure := x.host.client.Do(x.context, s.Address, request)
-	s.requestEnded()
 	defer observation.close()
+	response, failure := x.send(s, request)
 	now := x.host.now()
 	if failure != nil {
 		return x.handleFailure(observation, s, failure, now)
 	}
+	handled := false
+	defer func() {
+		if !handled {
+			// The handling of the response panicked.
+			discardResponse(response)
+		}
+	}()
 	// A misdirected request was answered by another server, which has taken over the address.
 	if load := response.Header.Get(x.host.headerNames.ServerLoad); load != "" && response.Status != http.StatusMisdirectedRequest {
 		s.recordLoad(now, load)
 	}
-	return x.handleResponse(observation, s, response, choice, now, now-started)
+	result = x.handleResponse(observation, s, response, choice, now, now-started)
+	handled = true
+	return result
+}
+
+// send sends the request to the server and counts it as in flight there until the response or a failure, also if it panics.
+func (x *exchange) send(s *server, request *backends.Request) (*backends.Response, *backends.Failure) {
+	s.requestStarted(x.attemptStarted, x.affinityKey)
+	defer s.requestEnded()
+	return x.host.client.Do(x.context, s.Address, request)
 }
 
 // handleFailure records an attempt without a complete response, and decides whether another server may be tried.
--- a/host/request/answer.go
+++ b/host/request/answer.go
@@ -19,6 +19,8 @@
 // writeResponse forwards the backend server's response to the caller. If that fails midway, it aborts the response.
 func writeResponse(x *exchange) error {
 	response := x.response
+	// Closes the server's connection if the response was not read to its end, also when a write panics.
+	defer discard(response)
 	for _, name := range unforwardedHeaders {
 		delete(response.Header, name)
 	}
@@ -47,11 +49,11 @@
 	}
 	x.w.WriteHeader(response.Status)
 	if _, err := x.w.Write(response.Body); err != nil && x.r.Method != http.MethodHead && bodyAllowed(response.Status) {
-		return x.abortResponse()
+		return errResponseAborted
 	}
 	if response.RemainingBody != nil {
 		if err := callers.Stream(x.w, response.RemainingBody); err != nil {
-			return x.abortResponse()
+			return errResponseAborted
 		}
 	}
 	for name, values := range response.Trailer {
@@ -73,9 +75,3 @@
 	delete(header, "Date")
 	return claim.Result{Status: response.Status, Header: header, Body: response.Body}
 }
-
-// abortResponse gives up a response that was partly sent.
-func (x *exchange) abortResponse() error {
-	discard(x.response)
-	return errResponseAborted
-}
--- a/host/request/choose.go
+++ b/host/request/choose.go
@@ -60,9 +60,7 @@
 		if refusal := x.pickServer(); refusal != nil {
 			return x.correctRunState(refusal)
 		}
-		chosen := x.server
-		err := x.joinHedge(x.next())
-		chosen.assigned.Add(-1)
+		err := x.attemptAtServer()
 		attemptErr, ok := err.(*attemptError)
 		if !ok {
 			return x.correctRunState(err)
@@ -81,6 +79,13 @@
 	}
 }
 
+// attemptAtServer runs the rest of the chain at the chosen server and waits for the hedged attempt, if any.
+func (x *exchange) attemptAtServer() error {
+	defer x.server.assigned.Add(-1)
+	defer x.abandonHedge()
+	return x.joinHedge(x.next())
+}
+
 // attemptLimit is the most attempts that the request may have.
 func (x *exchange) attemptLimit() int {
 	if x.route.Attempts > 0 {
--- a/host/request/claim.go
+++ b/host/request/claim.go
@@ -36,6 +36,12 @@
 		return x.answerFromClaim(answer)
 	}
 	x.openClaim = &request
+	defer func() {
+		if x.openClaim != nil {
+			// A filter panicked. An open claim would refuse each resend as running.
+			x.finishClaim(claim.Result{Unknown: true})
+		}
+	}()
 	err = x.next()
 	if x.openClaim != nil {
 		// The claim was not finished by writeResponse, so there was no response.
--- a/host/request/forward.go
+++ b/host/request/forward.go
@@ -53,9 +53,8 @@
 			WithRetryAfter(defaultRetryAfter)
 	}
 	now = time.Now()
-	response, failure := x.service.client.Do(x.context, x.server.Address, attempt)
+	response, failure := x.send(attempt)
 	latency := time.Since(now)
-	x.leaveServer()
 	x.backendTime += latency
 	if failure != nil {
 		x.detectCrash(failure, x.alone || serverWasIdle && x.server.arrivals.Load() == arrival)
@@ -88,6 +87,12 @@
 	return s.arrivals.Add(1), running == 1, nil
 }
 
+// send sends the request to the server that enterServer entered, and leaves it, also if sending panics.
+func (x *exchange) send(attempt *backends.Request) (*backends.Response, *backends.Failure) {
+	defer x.leaveServer()
+	return x.service.client.Do(x.context, x.server.Address, attempt)
+}
+
 func (x *exchange) leaveServer() {
 	x.server.inFlight.Add(-1)
 	x.unreserve()
@@ -102,6 +107,10 @@
 
 // handleResult records the result of an attempt, and runs the rest of the chain for a response that goes to the caller.
 func (x *exchange) handleResult(response *backends.Response, failure *backends.Failure, latency time.Duration) error {
+	if response != nil {
+		// A response that does not go to the caller is dropped, also when its handling panics.
+		defer discard(response)
+	}
 	now := x.service.now()
 	if failure != nil {
 		x.mayHaveRun = x.mayHaveRun || failure.Sent
@@ -121,13 +130,11 @@
 		// pause.
 		x.server.markShed(now, pause/10, response.ConnectionClose)
 		x.service.options.Hook.Event("shed", x.server.ID)
-		discard(response)
 		return &attemptError{shed: true, retryAfter: pause}
 	}
 	// Also when another attempt responded first, this response shows that the request ran.
 	x.mayHaveRun = true
 	if !x.tryWin() {
-		discard(response)
 		return errHedgeLost
 	}
 	x.stats.addResponse(now, latency)
--- a/host/request/hedge.go
+++ b/host/request/hedge.go
@@ -23,6 +23,9 @@
 	// second is the exchange of the hedged attempt, secondErr its error. They are read after group.Wait.
 	second    *exchange
 	secondErr error
+	// panicked is the value with which the hedged attempt panicked, or nil. The goroutine of the first attempt panics with it,
+	// since a panic in the group would end the process.
+	panicked any
 }
 
 // tryWin reports whether the response of this attempt goes to the caller. If so, it aborts the other attempt.
@@ -68,11 +71,11 @@
 	second.tried = append(append([]*server(nil), x.tried...), first)
 	h.second = &second
 	h.group.Go(func() error {
+		defer func() { h.panicked = recover() }()
 		h.secondErr = second.pickServer()
 		if h.secondErr == nil {
-			chosen := second.server
+			defer second.server.assigned.Add(-1)
 			h.secondErr = second.next()
-			chosen.assigned.Add(-1)
 		}
 		return nil
 	})
@@ -92,6 +95,9 @@
 	_ = h.group.Wait()
 	h.cancel()
 	x.hedge = nil
+	if h.panicked != nil {
+		panic(h.panicked)
+	}
 	if h.second == nil {
 		return err
 	}
@@ -107,6 +113,20 @@
 	return err
 }
 
+// abandonHedge ends the hedged attempt if the first attempt has panicked, so that nothing is written to the caller after the
+// handler has returned.
+func (x *exchange) abandonHedge() {
+	h := x.hedge
+	if h == nil {
+		return
+	}
+	x.hedge = nil
+	h.winner.CompareAndSwap(0, 1)
+	h.cancel()
+	// The goroutines return no errors.
+	_ = h.group.Wait()
+}
+
 // probeTimeout bounds a probe of a server.
 const probeTimeout = time.Second
 
--- a/host/request/quarantine.go
+++ b/host/request/quarantine.go
@@ -58,9 +58,8 @@
 			return err
 		}
 	}
-	err := x.next()
-	x.endTrial()
-	return err
+	defer x.endTrial()
+	return x.next()
 }
 
 // trialClaim is the claim that a host needs for the trial of a suspected request. Its owner grants it to one host at a time, so
--- a/host/request/queue.go
+++ b/host/request/queue.go
@@ -54,9 +54,8 @@
 	if err := x.limiter.acquire(x, expectedLatency); err != nil {
 		return err
 	}
-	err := x.next()
-	x.releaseConcurrency()
-	return err
+	defer x.releaseConcurrency()
+	return x.next()
 }
 
 func (l *concurrencyLimiter) acquire(x *exchange, expectedLatency time.Duration) error {
--- a/io/backends/exchange.go
+++ b/io/backends/exchange.go
@@ -76,7 +76,15 @@
 	p.mu.Lock()
 	p.usedAt = now
 	p.mu.Unlock()
+	ended := false
+	defer func() {
+		if !ended {
+			// The exchange panicked. A connection that is not retired would count as open for ever.
+			p.retire(conn)
+		}
+	}()
 	resp, f := c.exchange(ctx, conn, r)
+	ended = true
 	switch {
 	case f != nil:
 		if f.Cause == CauseMismatch {
@@ -114,7 +122,7 @@
 		stop = context.AfterFunc(ctx, func() { _ = conn.netConn.SetDeadline(aLongTimeAgo) })
 		defer func() {
 			if resp == nil || resp.RemainingBody == nil {
-				if !stop() && f == nil {
+				if !stop() && resp != nil {
 					// The cancellation may still be setting the deadline, so that the connection cannot be reused.
 					resp.reuseFailure = &Failure{Cause: CauseCancelled, Sent: true}
 				}
--- a/io/backends/pool.go
+++ b/io/backends/pool.go
@@ -61,21 +61,33 @@
 	}
 	p.open++
 	p.mu.Unlock()
+	var opened *connection
+	defer func() {
+		// Also when OnDial panics.
+		if opened == nil {
+			p.decrementOpen()
+		}
+	}()
 	dialer := net.Dialer{Timeout: p.options.DialTimeout, KeepAlive: -1}
 	started := time.Now()
 	raw, err := dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
-		p.decrementOpen()
 		return nil, classify(ctx, err, false, CauseDial).asDialFailure()
 	}
+	defer func() {
+		if opened == nil {
+			// The connection is not used, whether or not Close fails.
+			_ = raw.Close()
+		}
+	}()
 	if p.options.OnDial != nil {
 		p.options.OnDial(p.address, time.Since(started))
 	}
 	c, err := newConnection(raw, p)
 	if err != nil {
-		p.retire(c)
 		return nil, &Failure{Cause: CauseDial, Err: err}
 	}
+	opened = c
 	return c, nil
 }
 
