--- a/core/config/change_file.go
+++ b/core/config/change_file.go
@@ -40,17 +40,9 @@
 // ParseChangeFile decodes and checks a change file. Its errors name the file, line, key and accepted range. References
 // between documents are checked later, in the configuration to which the edits are applied.
 func ParseChangeFile(file string, data []byte) (edits []Edit, err error) {
-	if len(data) > MaxEncodedBytes {
-		return nil, errors.Newf("%s: %d bytes; accepted: at most %d", file, len(data), MaxEncodedBytes)
-	}
-	var parsed changeFile
-	if err := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(&parsed); err != nil {
-		return nil, describeDecodeError(file, err)
-	}
-	documents := &Configuration{
-		Templates: parsed.Templates, Teams: parsed.Teams, Routes: parsed.Routes, Services: parsed.Services,
-		Servers: parsed.Servers, Hosts: parsed.Hosts, Regions: parsed.Regions, Links: parsed.Links,
-		Shifts: parsed.Shifts, Rollouts: parsed.Rollouts,
+	parsed, documents, err := decodeChangeFile(file, data)
+	if err != nil {
+		return nil, err
 	}
 	var problems ValidationErrors
 	for _, col := range collections {
@@ -80,6 +72,21 @@
 	return edits, nil
 }
 
+// decodeChangeFile decodes a change file without a check of its values, and returns its documents as a configuration.
+func decodeChangeFile(file string, data []byte) (parsed changeFile, documents *Configuration, err error) {
+	if len(data) > MaxEncodedBytes {
+		return parsed, nil, errors.Newf("%s: %d bytes; accepted: at most %d", file, len(data), MaxEncodedBytes)
+	}
+	if err := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(&parsed); err != nil {
+		return parsed, nil, describeDecodeError(file, err)
+	}
+	return parsed, &Configuration{
+		Templates: parsed.Templates, Teams: parsed.Teams, Routes: parsed.Routes, Services: parsed.Services,
+		Servers: parsed.Servers, Hosts: parsed.Hosts, Regions: parsed.Regions, Links: parsed.Links,
+		Shifts: parsed.Shifts, Rollouts: parsed.Rollouts,
+	}, nil
+}
+
 // describeDecodeError adds the file, line and key to an error of the TOML decoder.
 func describeDecodeError(file string, err error) error {
 	var strict *toml.StrictMissingError
@@ -107,17 +114,23 @@
 // withLineNumbers puts the file and line before each validation error. An error without a line of its own gets that of
 // the document's table.
 func withLineNumbers(file string, data []byte, problems ValidationErrors) error {
-	at := keyLines(data)
+	setLines(data, problems)
 	texts := make([]string, 0, min(len(problems), maxReportedErrors))
 	for _, p := range problems[:min(len(problems), maxReportedErrors)] {
+		texts = append(texts, fmt.Sprintf("%s:%d: %s", file, p.Line, p))
+	}
+	return errors.New(strings.Join(texts, "\n"))
+}
+
+// setLines sets the lines of problems in a change file.
+func setLines(data []byte, problems ValidationErrors) {
+	at := keyLines(data)
+	for _, p := range problems {
 		table := strings.Replace(p.Document, "/", ".", 1)
-		line := at[table+"."+p.Key]
-		if line == 0 {
-			line = at[table]
+		if p.Line = at[table+"."+p.Key]; p.Line == 0 {
+			p.Line = at[table]
 		}
-		texts = append(texts, fmt.Sprintf("%s:%d: %s", file, line, p))
 	}
-	return errors.New(strings.Join(texts, "\n"))
 }
 
 // keyLines maps the dotted keys and tables of a TOML document to their line numbers.
--- a/core/config/codec.go
+++ b/core/config/codec.go
@@ -24,14 +24,25 @@
 // Parse decodes and checks a whole configuration. Unknown kinds and keys are errors.
 func Parse(data []byte) (c Configuration, err error) {
 	defer func() { err = errors.Wrap(err, "parse configuration") }()
+	parsed, err := decode(data)
+	if err != nil {
+		return c, err
+	}
+	if err = parsed.Check(); err != nil {
+		return c, err
+	}
+	return parsed.WithIndex(), nil
+}
+
+// decode decodes a whole configuration without a check of its values.
+func decode(data []byte) (parsed Configuration, err error) {
 	if len(data) > MaxEncodedBytes {
-		return c, errors.Newf("configuration has %d bytes; accepted: at most %d", len(data), MaxEncodedBytes)
+		return parsed, errors.Newf("configuration has %d bytes; accepted: at most %d", len(data), MaxEncodedBytes)
 	}
 	var fields map[string]json.RawMessage
 	if err = decodeStrict(data, &fields); err != nil {
-		return c, err
+		return parsed, err
 	}
-	var parsed Configuration
 	for field, raw := range fields {
 		switch field {
 		case "sequence":
@@ -42,13 +53,10 @@
 			err = parseCollection(&parsed, field, raw)
 		}
 		if err != nil {
-			return c, errors.Wrapf(err, "%s", field)
+			return Configuration{}, errors.Wrapf(err, "%s", field)
 		}
 	}
-	if err = parsed.Check(); err != nil {
-		return c, err
-	}
-	return parsed.WithIndex(), nil
+	return parsed, nil
 }
 
 func parseCollection(c *Configuration, kind string, raw []byte) error {
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -39,6 +39,8 @@
 	Key      string
 	Value    string
 	Accepted string
+	// Line is the line in the file that was checked, or 0 if it is not known.
+	Line int
 }
 
 // Error implements error.
--- a/io/terminal/change.go
+++ b/io/terminal/change.go
@@ -17,9 +17,22 @@
 var fileFlag = flag{"file", "TOML change file; - for standard input", "-"}
 
 var validateCommand = command{
-	name: "validate", description: "check a change file without applying it", example: "validate --file change.toml",
-	flags: []flag{fileFlag},
+	name: "validate", description: "check a change file, or a whole configuration, without applying it",
+	example: "validate --file change.toml",
+	flags: []flag{
+		fileFlag,
+		{"configuration", "JSON or TOML file with a whole configuration to check instead of a change file", ""},
+		{"against", "configuration in force to compare with: host, none or a file", againstHost},
+		{"strict", "true: warnings about the whole configuration also end with exit code 2", ""},
+		{"format", "text or json", ""},
+	},
 	run: func(ctx context.Context, s *session, v values) error {
+		if err := s.setFormat(v.get("format")); err != nil {
+			return err
+		}
+		if v.get("configuration") != "" {
+			return s.checkConfiguration(ctx, v)
+		}
 		edits, err := readEdits(v.get("file"))
 		if err != nil {
 			return err
@@ -67,17 +80,21 @@
 
 func readEdits(file string) (edits []config.Edit, err error) {
 	defer func() { err = errors.Mark(err, errUsage) }()
-	path := file
-	if file == "-" {
-		path = "/dev/stdin"
-	}
-	data, err := os.ReadFile(path)
+	data, err := readFile(file)
 	if err != nil {
 		return nil, err
 	}
 	return config.ParseChangeFile(file, data)
 }
 
+// readFile reads a file, or standard input if its name is -.
+func readFile(file string) ([]byte, error) {
+	if file == "-" {
+		file = "/dev/stdin"
+	}
+	return os.ReadFile(file)
+}
+
 // applyToCurrent applies the edits on top of the host's current configuration.
 func (s *session) applyToCurrent(ctx context.Context, edits []config.Edit) error {
 	current, err := s.client.Configuration(ctx)
