--- a/host/request/claim.go
+++ b/host/request/claim.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"vanillatally/core/claim"
+	"vanillatally/io/backends"
 	"vanillatally/io/callers"
 )
 
@@ -35,6 +36,12 @@
 		return x.answerFromClaim(answer)
 	}
 	x.openClaim = &request
+	defer func() {
+		if x.openClaim != nil {
+			// A filter panicked. An open claim would refuse each resend as running.
+			x.finishClaim(claim.Result{Unknown: true})
+		}
+	}()
 	err = x.next()
 	if x.openClaim != nil {
 		// The claim was not finished by writeResponse, so there was no response.
@@ -64,7 +71,7 @@
 func (x *exchange) answerFromClaim(answer claim.Answer) error {
 	switch answer.State {
 	case claim.Done:
-		if answer.Result != nil && answer.Result.Status != 0 {
+		if answer.Result != nil && backends.IsResponseStatus(answer.Result.Status) {
 			x.replayResponse(answer.Result)
 			return nil
 		}
--- a/io/backends/exchange.go
+++ b/io/backends/exchange.go
@@ -76,7 +76,15 @@
 	p.mu.Lock()
 	p.usedAt = now
 	p.mu.Unlock()
+	ended := false
+	defer func() {
+		if !ended {
+			// The exchange panicked. A connection that is not retired would count as open for ever.
+			p.retire(conn)
+		}
+	}()
 	resp, f := c.exchange(ctx, conn, r)
+	ended = true
 	switch {
 	case f != nil:
 		if f.Cause == CauseMismatch {
@@ -114,7 +122,7 @@
 		stop = context.AfterFunc(ctx, func() { _ = conn.netConn.SetDeadline(aLongTimeAgo) })
 		defer func() {
 			if resp == nil || resp.RemainingBody == nil {
-				if !stop() && f == nil {
+				if !stop() && resp != nil {
 					// The cancellation may still be setting the deadline, so that the connection cannot be reused.
 					resp.reuseFailure = &Failure{Cause: CauseCancelled, Sent: true}
 				}
@@ -215,7 +223,8 @@
 // maxDuplicateBytes is the longest duplicate response that is skipped.
 const maxDuplicateBytes = 1 << 20
 
-// readHeaders reads the status line and headers, skips informational (1xx) responses and checks the echoed request ID.
+// readHeaders reads the status line and headers, skips informational (1xx) responses and checks the status and the echoed
+// request ID.
 func (c *Client) readHeaders(ctx context.Context, conn *connection, r *Request) (*http.Response, *Failure) {
 	earlier, sentID := conn.recentIDs, r.HTTP.Header.Get(c.options.RequestIDHeader)
 	conn.recentIDs.add(sentID)
@@ -230,7 +239,11 @@
 			}
 			return nil, classify(ctx, err, true, cause)
 		}
-		if head.StatusCode >= 100 && head.StatusCode < 200 && head.StatusCode != http.StatusSwitchingProtocols {
+		informational, err := checkStatus(head)
+		if err != nil {
+			return nil, &Failure{Cause: CauseMalformed, Sent: true, Err: err}
+		}
+		if informational {
 			continue
 		}
 		if id := head.Header.Get(c.options.RequestIDHeader); id != sentID && earlier.contains(id) {
@@ -243,10 +256,9 @@
 		} else if id != sentID && (r.ID != "" || id != "") {
 			return nil, &Failure{Cause: CauseMismatch, Sent: true}
 		}
-		// A close-delimited body has no length to check its completeness against.
-		closeDelimited := head.ContentLength < 0 && len(head.TransferEncoding) == 0
-		if closeDelimited && !c.options.AllowCloseDelimited || head.ProtoMajor != 1 || head.ProtoMinor < 1 ||
-			head.StatusCode == http.StatusSwitchingProtocols {
+		// A close-delimited body has no length to check its completeness against. A response to HEAD has no body.
+		closeDelimited := head.ContentLength < 0 && len(head.TransferEncoding) == 0 && r.HTTP.Method != http.MethodHead
+		if closeDelimited && !c.options.AllowCloseDelimited || head.ProtoMajor != 1 || head.ProtoMinor < 1 {
 			return nil, &Failure{Cause: CauseMalformed, Sent: true, Err: errors.New("the response is not HTTP/1.1 with a stated length")}
 		}
 		return head, nil
