Give servers shares of the objects that follow their slots

Cause: the home of an object was chosen by unweighted rendezvous hashing, so that a server with 2 slots had as many objects as one with 8.

Change: the home is the server with the highest slots / -ln(u), for u the hash as a fraction of its range. A bound without a logarithm rules out most servers. Equal slots are compared by the integer hash, so that their order stays.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -3,8 +3,8 @@
 // has it cached runs them faster (warm) than another one (cold).
 //
 // When a service is near its capacity, it can't run every request cold. An object therefore has one home server, chosen by
-// rendezvous hashing in the region of its callers or in the other regions. Its requests go elsewhere only if the wait at the
-// home costs more than the distance or the cold run.
+// rendezvous hashing weighted with the servers' slots, in the region of its callers or in the other regions. Its requests go
+// elsewhere only if the wait at the home costs more than the distance or the cold run.
 package placement
 
 import (
@@ -15,8 +15,8 @@
 
 // Candidate is the state of a backend server at the time of a choice.
 type Candidate struct {
-	// RendezvousWeight is the server's weight for the request's object; the server of a region with the highest one is the
-	// object's home there.
+	// RendezvousWeight is the server's weight for the request's object before it is scaled with its slots. Among servers with
+	// equal slots, the one with the highest weight is the object's home.
 	RendezvousWeight uint64
 	// Local is set for servers in this host's region.
 	Local bool
@@ -78,7 +78,7 @@
 	maxTieBreak = 0.05
 )
 
-// RendezvousWeight returns the weight of a server for an object in rendezvous hashing.
+// RendezvousWeight returns the weight of a server for an object in rendezvous hashing. It is uniformly distributed.
 func RendezvousWeight(object, server uint64) uint64 {
 	x := object ^ server*0x9e3779b97f4a7c15
 	x ^= x >> 32
@@ -166,21 +166,19 @@
 	}
 }
 
-// findHomes returns the homes of the request's object: in each group, the candidate with the highest rendezvous weight.
+// findHomes returns the homes of the request's object: in each group, the candidate that ranks first.
 func findHomes(candidates []Candidate) homes {
-	found := homes{local: -1, remote: -1}
+	local, remote := noFirst, noFirst
 	for i := range candidates {
 		c := &candidates[i]
 		if c.Excluded {
 			continue
 		}
-		home := &found.remote
 		if c.Local {
-			home = &found.local
-		}
-		if *home < 0 || c.RendezvousWeight > candidates[*home].RendezvousWeight {
-			*home = i
+			local = local.withServer(i, c.RendezvousWeight, c.Slots)
+		} else {
+			remote = remote.withServer(i, c.RendezvousWeight, c.Slots)
 		}
 	}
-	return found
+	return homes{local: local.index, remote: remote.index}
 }
