Bound the pace that excuses slow responses in a rollout; test service times

Cause: the time from which a response counts as slow is multiplied by the reported pace, of which up to 100 was believed. A faulty version could hide its slowness behind a wrong report. No test covered that the pace is taken out of measured service times, and the test of herding had no case in which hosts know the pace of all servers.

Change: at most a pace of 3 excuses a slow response. Both tests are added.

--- a/host/entry/attempt.go
+++ b/host/entry/attempt.go
@@ -16,6 +16,10 @@
 // minAttemptTime is the time that must be left before the deadline for a request to be sent to a server.
 const minAttemptTime = 20 * time.Millisecond
 
+// maxExcusedPace bounds the pace that excuses a slow response in a rollout, so that a faulty version can't hide its slowness
+// behind a wrong report.
+const maxExcusedPace = 3
+
 // attemptResult is the result of one attempt. Exactly one field is set: response goes to the caller, final ends the request,
 // and after retryable the request may be sent to another server.
 type attemptResult struct {
@@ -154,7 +158,7 @@
 func (x *exchange) slowThreshold(s *server, choice placement.Choice) time.Duration {
 	_, cold, _ := x.serviceTimes.estimates()
 	roundTripTime := x.host.regionRTTs.rtt(s.Region)
-	allowed := slowFactor * x.maxPace(s, x.host.now()-roundTripTime) * float64(cold)
+	allowed := slowFactor * min(x.maxPace(s, x.host.now()-roundTripTime), maxExcusedPace) * float64(cold)
 	return roundTripTime + choice.QueueWait + time.Duration(allowed)
 }
 
--- a/host/entry/pace_simulation_test.go
+++ b/host/entry/pace_simulation_test.go
@@ -133,7 +133,7 @@
 	known := f.known[run.host][run.server]
 	known.requestEnded()
 	known.recordResult(now, false)
-	f.report(now, run.host, run.server)
+	known.recordLoad(now, 0, f.report(now, run.server))
 	if served := now - run.sent - run.choice.QueueWait; served > 0 && !run.choice.Queued {
 		pace := max(run.paceWhenSent, known.paceAt(now), 1)
 		known.recordSlowness(now, f.times[run.host].observe(false, served, pace))
@@ -141,14 +141,14 @@
 	f.latencies = append(f.latencies, now-run.sent)
 }
 
-// report lets a host see a server's load report.
-func (f *paceFleet) report(now time.Duration, host, index int) {
+// report returns a server's load report.
+func (f *paceFleet) report(now time.Duration, index int) loadReport {
 	s := f.servers[index]
 	report := loadReport{running: len(s.running), waiting: len(s.waiting)}
 	if f.reportsPace {
 		report.pacePercent = int(100 * f.pace(now, s))
 	}
-	f.known[host][index].recordLoad(now, 0, report)
+	return report
 }
 
 // run sends requests at the given share of what the servers could do at their mean pace.
--- a/host/entry/pace_test.go
+++ b/host/entry/pace_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -95,6 +96,33 @@
 	}
 }
 
+// The measured slowness of a server must leave out what its reported pace explains, and the usual service times must too, or
+// the slow period counts twice and longer than it lasts.
+func TestServiceTimesLeaveOutThePace(t *testing.T) {
+	const warm, cold = 200e6, 600e6
+	for _, c := range []struct {
+		name                          string
+		sticky                        bool
+		took                          time.Duration
+		pace, ratio, newWarm, newCold float64
+	}{
+		{"no pace", false, 500 * time.Millisecond, 1, 2.5, 230e6, 230e6},
+		{"slow machine", false, 500 * time.Millisecond, 2.5, 1, 200e6, 200e6},
+		{"recovered during the run", false, 300 * time.Millisecond, 2.5, 1, 200e6, 200e6},
+		{"slow server on a slow machine", false, time.Second, 2.5, 2, 220e6, 220e6},
+		{"fast run", false, 100 * time.Millisecond, 2.5, 0.5, 190e6, 190e6},
+		{"warm run on a slow machine", true, 500 * time.Millisecond, 2.5, 1, 200e6, 600e6},
+		{"cold run on a slow machine", true, 1500 * time.Millisecond, 2.5, 1, 200e6, 600e6},
+		{"cold run", true, 600 * time.Millisecond, 1, 1, 200e6, 600e6},
+	} {
+		times := &routeServiceTimes{warm: warm, cold: cold, service: &meanServiceTime{mean: warm}}
+		ratio := times.observe(c.sticky, c.took, c.pace)
+		if math.Abs(ratio-c.ratio) > 1e-6 || math.Abs(times.warm-c.newWarm) > 1 || math.Abs(times.cold-c.newCold) > 1 {
+			t.Errorf("%s: ratio %.2f, warm %.0f, cold %.0f", c.name, ratio, times.warm, times.cold)
+		}
+	}
+}
+
 // BenchmarkCandidates measures the description of 180 servers for one choice.
 func BenchmarkCandidates(b *testing.B) {
 	for _, c := range []struct {
@@ -115,24 +143,30 @@
 	}
 }
 
-// When all hosts hear at the same time that one server is fast, they must not send all their requests to it.
+// When all hosts hear at the same time that one server is fast, they must not send all their requests to it, whether they know
+// the other servers' reports or not. If they know them, all servers report that they are idle, so that only the pace differs.
 func TestFastReportAttractsNoHerd(t *testing.T) {
-	const hosts = 68
-	for _, percent := range []int{10, 40, 100} {
-		f := newPaceFleet(1, hosts, true)
-		const at = 500 * time.Millisecond
-		f.run(0, at, 0.4)
-		const fast = 7
-		for host := range hosts {
-			f.known[host][fast].recordLoad(at, 0, loadReport{pacePercent: percent})
-		}
-		sent := make([]int, simulatedServers)
-		const requests = 20 * simulatedServers
-		for i := range requests {
-			sent[f.send(at, i%hosts)]++
-		}
-		if sent[fast] > 2*requests/simulatedServers {
-			t.Errorf("%d%%: the fast server got %d of %d requests", percent, sent[fast], requests)
+	const hosts, fast, at = 68, 7, 500 * time.Millisecond
+	for _, allKnown := range []bool{false, true} {
+		for _, percent := range []int{10, 40, 100} {
+			f := newPaceFleet(1, hosts, true)
+			f.run(0, at, 0.4)
+			for _, known := range f.known {
+				for i := range f.servers {
+					if allKnown {
+						known[i].recordLoad(at, 0, loadReport{pacePercent: f.report(at, i).pacePercent})
+					}
+				}
+				known[fast].recordLoad(at, 0, loadReport{pacePercent: percent})
+			}
+			sent := make([]int, simulatedServers)
+			const requests = 20 * simulatedServers
+			for i := range requests {
+				sent[f.send(at, i%hosts)]++
+			}
+			if sent[fast] > 2*requests/simulatedServers {
+				t.Errorf("%d%%, all known %v: the fast server got %d of %d requests", percent, allKnown, sent[fast], requests)
+			}
 		}
 	}
 }
