--- a/host/entry/attempt.go
+++ b/host/entry/attempt.go
@@ -20,6 +20,10 @@
 // overload that has to end first.
 const refusedWithRoomRetryAfter = 60 * time.Millisecond
 
+// maxExcusedPace bounds the pace that excuses a slow response in a rollout, so that a faulty version can't hide its slowness
+// behind a wrong report.
+const maxExcusedPace = 3
+
 // attemptResult is the result of one attempt. Exactly one of the first fields is set: response goes to the caller, final ends
 // the request, and after retryable the request may be sent to another server.
 type attemptResult struct {
@@ -182,7 +186,7 @@
 func (x *exchange) slowThreshold(s *server, choice placement.Choice) time.Duration {
 	_, cold, _ := x.serviceTimes.estimates()
 	roundTripTime := x.host.regionRTTs.rtt(s.Region)
-	allowed := slowFactor * x.maxPace(s, x.host.now()-roundTripTime) * float64(cold)
+	allowed := slowFactor * min(x.maxPace(s, x.host.now()-roundTripTime), maxExcusedPace) * float64(cold)
 	return roundTripTime + choice.QueueWait + time.Duration(allowed)
 }
 
