Follow a store that was restored from an older copy

Cause: informers, relays and the comparison of hosts' objects compared revisions alone. After a restore all revisions are lower, so that an informer took each list for an outdated one (errOlderObjects) and kept its objects for ever.

Positions (era and revision) replace revisions in informers, relays and digests; heartbeats and summaries carry them packed into the same field.

--- a/host/entry/domains_test.go
+++ b/host/entry/domains_test.go
@@ -14,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"golang.org/x/sync/errgroup"
 
+	"vanillatally/core/era"
 	"vanillatally/io/datagrams"
 	"vanillatally/io/events"
 	"vanillatally/io/settings"
@@ -297,11 +298,11 @@
 				f := newTestFleet(t, hosts, 0)
 				defer f.stop()
 				for _, h := range f.running {
-					h.SetDigest(Evacuations, 1, 10)
+					h.SetDigest(Evacuations, 1, era.Position{Revision: 10})
 				}
 				f.sendRequests(8*time.Second, 1)
 				const most = 300 * time.Millisecond
-				f.running[0].SetDigest(Evacuations, 2, 20)
+				f.running[0].SetDigest(Evacuations, 2, era.Position{Revision: 20})
 				time.Sleep(most)
 				for _, h := range f.running[1:] {
 					h.stalenessDetector.mu.Lock()
--- a/host/entry/fleet_test.go
+++ b/host/entry/fleet_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"vanillatally/core/config"
+	"vanillatally/core/era"
 	"vanillatally/core/watchers"
 )
 
@@ -205,7 +206,7 @@
 		t.Errorf("%v listed again within minRelistInterval", stale)
 	}
 	h := &Host{stalenessDetector: r}
-	h.SetDigest(BackendServers, 7, 21)
+	h.SetDigest(BackendServers, 7, era.Position{Revision: 21})
 	receiveNewer(at + 2*minRelistInterval)
 	if stale := r.takeStale(at+4*minRelistInterval, staleGrace); len(stale) != 0 {
 		t.Errorf("%v listed again although the newer objects are known", stale)
--- a/host/entry/staleness.go
+++ b/host/entry/staleness.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"vanillatally/core/era"
 	"vanillatally/core/watchers"
 	"vanillatally/io/events"
 )
@@ -44,8 +45,8 @@
 // Digests holds a digest of the objects of each kind that a host knows. Equal digests mean equal objects.
 type Digests [kindCount]uint32
 
-// Revisions holds, for each kind, the store's revision at which a host last saw a change. Of two hosts with different
-// digests, the one with the higher revision has the newer objects.
+// Revisions holds, for each kind, the packed position in the store at which a host last saw a change: the revision, with the
+// store's era in the highest bits. Of two hosts with different digests, the one with the higher number has the newer objects.
 type Revisions [kindCount]uint64
 
 // stalenessDetector finds out from other hosts' digests that this host's objects are out of date.
@@ -73,10 +74,10 @@
 	return d
 }
 
-// SetDigest stores the digest of this host's objects of a kind, and the store's revision of their last change. A host that
+// SetDigest stores the digest of this host's objects of a kind, and the position in the store of their last change. A host that
 // watches the store announces a change at once, so that others notice when their own watches deliver nothing.
-func (h *Host) SetDigest(kind ObjectKind, digest uint32, revision uint64) {
-	if h.stalenessDetector.setDigest(kind, digest, revision) && h.storeState() == watchers.Reachable {
+func (h *Host) SetDigest(kind ObjectKind, digest uint32, at era.Position) {
+	if h.stalenessDetector.setDigest(kind, digest, at.Packed()) && h.storeState() == watchers.Reachable {
 		notify(h.fleet.urgentNews)
 	}
 }
