Keep restrictions after a restore until they can be written again

Cause: the older copy of a restored store lacks evacuations, drains, removals and orders of rollouts that were acknowledged. A host that applies it sends requests to evacuated domains, to servers that are leaving or gone, and to reverted versions, and starts rollouts anew. With the host not told of the restore: TestRestoreKeepsEvacuations: after the restore: evacuated false, want true TestRestoreKeepsServersOut: after the restore: servers [a b c d] get requests, want [a d] TestRestoreKeepsServersOut: the process of d that started at 1 replaced a later one TestRestoreKeepsMissingServers: 2 s after the list: servers [a] get requests, want [a b] TestRestoreKeepsRollouts/order_lost: after the restore: the rollout is to "", want "v2", and one to v2 is reverted TestRestoreKeepsRollouts/older_order_in_the_copy: after the restore: the rollout is to "v1", want "v2" TestFleetSurvivesRestore/with_an_evacuation: host 0 ended evacuations: [... 709 failure-domain:zone-b ...]

Change: the client tells the host of a restore before any object of the new era is applied. For each kind the host keeps what was in force for 6 s after the first list of the new era, unless the store shows that it was written again. Servers that the copy lacks are kept for the grace period of an outage. The phase of a rollout that the copy lacks is recorded again. Events 740 to 742.

Result: the tests above pass under the race detector, as do ten kinds of restore of a fleet of five hosts (two in a row, with a compaction, with late responses, with half of the followers cut off, with an evacuation, with a rollout, all at once): no configuration goes back, no evacuation ends, no rollout starts twice, all informers converge.

--- a/host/entry/host.go
+++ b/host/entry/host.go
@@ -100,6 +100,7 @@
 	peerStoreAccess peerStoreAccess
 	// keepUnlistedUntil is the time until which servers that are no longer listed are kept.
 	keepUnlistedUntil time.Duration
+	restore           storeRestore
 
 	// viewReady is closed once there are a configuration and a list of servers.
 	viewReady chan struct{}
@@ -321,7 +322,7 @@
 	}
 }
 
-// maintain regularly removes unlisted servers, chooses the hosts to follow, relists stale objects and forgets old limits and
+// maintain regularly removes unlisted servers, ends what outlived a restore of the store, chooses the hosts to follow, relists stale objects and forgets old limits and
 // crashes of servers, until ctx is cancelled.
 func (h *Host) maintain(ctx context.Context) error {
 	ticker := time.NewTicker(maintainInterval)
@@ -332,6 +333,7 @@
 			return nil
 		case <-ticker.C:
 			h.expireUnlisted()
+			h.endRestoreHolds()
 			h.fleet.updateStoreSource(h.now())
 			h.relistStale(h.now())
 			h.serverLimits.maintain(h.now())
--- a/host/entry/rollouts.go
+++ b/host/entry/rollouts.go
@@ -34,6 +34,8 @@
 	lastBatchAt  time.Duration
 	// reports holds the latest evidence of each other host.
 	reports map[string]*hostReport
+	// recordMayBeLost is set after a restore of the store until the order is listed again.
+	recordMayBeLost bool
 	// nextRecordAt is the time from which the phase may be written to the store again. Only judge uses it.
 	nextRecordAt time.Duration
 	// newVersionCredit grows with each request by the new version's share; the new version gets a request once it reaches 1.
@@ -79,11 +81,22 @@
 func (h *Host) SetRollouts(specs []rollout.ShortRolloutSpec) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.setRollouts(specs)
+}
+
+// setRollouts applies a list of orders, together with the rollouts that outlive a restore of the store. The caller holds h.mu.
+func (h *Host) setRollouts(listed []rollout.ShortRolloutSpec) {
 	now := h.now()
-	next := make(map[string]*runningRollout, len(specs))
+	specs, next := h.restrictRollouts(now, listed)
+	if next == nil {
+		next = make(map[string]*runningRollout, len(specs))
+	}
 	for _, spec := range specs {
 		current := h.rollouts[spec.Service]
-		if current == nil || current.state.Spec.TargetVersion != spec.TargetVersion || current.state.Spec.Within != spec.Within {
+		if current == nil {
+			current = h.removedRollout(spec)
+		}
+		if current == nil || !current.follows(spec) {
 			current = &runningRollout{
 				state: rollout.NewShortRollout(now, spec, 0), reports: map[string]*hostReport{}, ownEvidence: rollout.Batch{},
 				judgedEvidence: rollout.Batch{},
@@ -94,18 +107,40 @@
 		current.updateSpec(spec)
 		next[spec.Service] = current
 	}
+	for service, running := range h.rollouts {
+		if next[service] == nil {
+			h.restore.removedRollouts.add(now, service, running)
+		}
+	}
 	h.rollouts = next
 	h.publishView()
 }
 
-// updateSpec replaces the operator's specification by a newer one. A recorded phase that the newer one lacks is kept.
+// follows reports whether the rollout goes on under the operator's specification: its target and its duration are the same.
+func (r *runningRollout) follows(spec rollout.ShortRolloutSpec) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Spec.TargetVersion == spec.TargetVersion && r.state.Spec.Within == spec.Within
+}
+
+// awaitRecord makes the next specification decide which phase is recorded, since the store may have lost the record. This host
+// writes the phase again then.
+func (r *runningRollout) awaitRecord() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.recordMayBeLost = true
+}
+
+// updateSpec replaces the operator's specification by a newer one. A recorded phase that the newer one lacks is kept, unless the
+// store may have lost it.
 func (r *runningRollout) updateSpec(spec rollout.ShortRolloutSpec) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	recorded := spec.RecordedPhase
-	if recorded == "" {
+	if recorded == "" && !r.recordMayBeLost {
 		recorded = r.state.Spec.RecordedPhase
 	}
+	r.recordMayBeLost = false
 	r.state.Spec = spec
 	r.state = r.state.WithRecordedPhase(recorded)
 }
--- a/host/entry/view.go
+++ b/host/entry/view.go
@@ -70,6 +70,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.now()
+	listed = h.restrictServers(now, listed)
 	present := make(map[string]bool, len(listed))
 	for _, entry := range listed {
 		present[entry.ID] = true
@@ -87,6 +88,7 @@
 	known := h.servers[entry.ID]
 	if known == nil || known.Address != entry.Address || known.Started != entry.Started {
 		h.recordNewProcess(now, known, entry)
+		h.restore.replaceServer(now, known, entry)
 		h.servers[entry.ID] = newServer(entry, entry.Region == h.settings.Region, now)
 		h.log.Emit(events.ServerAdded, "server", entry.ID, "service", entry.Service, "version", entry.Version,
 			"failure-domain", entry.FailureDomain, "cold-for", entry.ColdFor, "leaving", entry.Leaving)
@@ -123,7 +125,9 @@
 
 // removeServer deletes a server. The caller holds h.mu.
 func (h *Host) removeServer(id string) {
-	h.log.Emit(events.ServerRemoved, "server", id, "service", h.servers[id].Service)
+	removed := h.servers[id]
+	h.log.Emit(events.ServerRemoved, "server", id, "service", removed.Service)
+	h.restore.removedServers.add(h.now(), id, processOf(removed.BackendServer))
 	delete(h.servers, id)
 	delete(h.unlisted, id)
 }
@@ -145,6 +149,12 @@
 func (h *Host) SetEvacuations(domains []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.setEvacuations(domains)
+}
+
+// setEvacuations applies a list of evacuations, together with those that outlive a restore of the store. The caller holds h.mu.
+func (h *Host) setEvacuations(listed []string) {
+	domains := h.restrictEvacuations(h.now(), listed)
 	next := make(map[string]bool, len(domains))
 	for _, domain := range domains {
 		next[domain] = true
--- a/io/events/catalogue.go
+++ b/io/events/catalogue.go
@@ -204,6 +204,18 @@
 		721, slog.LevelInfo, "requests sent to a backend server with a limit",
 		"The number of requests that this host sent in the time of the line. The sum over all hosts should not exceed the limit times that time.",
 	}
+	StoreRestored = Event{
+		740, slog.LevelWarn, "store was restored from an older copy",
+		"Its era has risen. Evacuations, leaving and removed backend servers and rollouts stay as they were until they are written again, for six seconds at most. Check whether the last changes are in the store.",
+	}
+	RestoreHoldEnded = Event{
+		741, slog.LevelInfo, "restrictions from before a restore ended",
+		"What the store lists is in force again. The line names the restrictions that nobody had written again.",
+	}
+	StoreEraInvalid = Event{
+		742, slog.LevelWarn, "era of the store is invalid",
+		"The header cannot be parsed and is ignored in each such response; only the first one is logged.",
+	}
 	ServerListReadFailed = Event{
 		701, slog.LevelWarn, "list of backend servers could not be read",
 		"The platform did not deliver the list, and the last one stays in use; or entries are invalid, and the others are used. The error says which.",
@@ -220,4 +232,5 @@
 	ServerListReadFailed, StoreUnavailable, StoreRecovered, StoreObjectInvalid, ServerAdded, ServerLeaving, ServerRemoved,
 	DomainEvacuated, DomainRestored, ServerUnreachable, ServerReachable, HostRegistered, SettingsReloaded, SettingsRejected,
 	StoreViewStale, PollerRoleChanged, WatchersChanged, ServerLimitStated, ServerLimitEnded, ServerLimitInvalid, ServerLimitUsed,
+	StoreRestored, RestoreHoldEnded, StoreEraInvalid,
 }
