--- a/core/era/era.go
+++ b/core/era/era.go
@@ -52,8 +52,8 @@
 // Latest is the highest era that a process has seen in responses. The zero value has seen none.
 type Latest struct {
 	Era Era
-	// seen is set after the first response.
-	seen bool
+	// seen is set after the first response, Stated after the first one that states an era.
+	seen, Stated bool
 }
 
 // WithStated returns the latest era after a response that states an era, and the verdict on that response. The first response
@@ -63,10 +63,13 @@
 	case e < l.Era:
 		return l, Late
 	case e == l.Era || !l.seen:
-		return Latest{Era: e, seen: true}, Current
+		return Latest{Era: e, seen: true, Stated: true}, Current
 	}
-	return Latest{Era: e, seen: true}, Restored
+	return Latest{Era: e, seen: true, Stated: true}, Restored
 }
 
 // WithUnstated returns the latest era after a response without an era. It counts as a response of the highest era seen.
-func (l Latest) WithUnstated() Latest { return Latest{Era: l.Era, seen: true} }
+func (l Latest) WithUnstated() Latest {
+	l.seen = true
+	return l
+}
--- a/core/era/era_test.go
+++ b/core/era/era_test.go
@@ -72,6 +72,12 @@
 			t.Errorf("response %d: verdict %d, highest era %d; want %d, %d", i, got, latest.Era, c.want, c.highest)
 		}
 	}
+	if latest = (Latest{}).WithUnstated(); latest.Stated {
+		t.Error("a response without an era counts as one that states it")
+	}
+	if latest, _ = latest.WithStated(0); !latest.Stated {
+		t.Error("a response that states era 0 counts as one without an era")
+	}
 	if _, got := (Latest{}).WithUnstated().WithStated(1); got != Restored {
 		t.Errorf("the first stated era after responses without one: verdict %d, want Restored", got)
 	}
