Bound the connections of callers and the heads of their requests

Cause: a host accepts connections until it has no descriptors left, and a write to a caller that does not read never ends.

Change: a table of the open connections. Beyond its limit the connection that has waited longest for a request is closed, first one that has never sent a whole request; requests in flight are never cut off for new connections. Heads beyond 4 KiB each and pipelined requests share a budget; the oldest unfinished head gives way.

--- a/io/callers/pipelining.go
+++ b/io/callers/pipelining.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -24,15 +25,26 @@
 )
 
 // pipeliningListener accepts connections on which callers may pipeline requests.
-type pipeliningListener struct{ net.Listener }
+type pipeliningListener struct {
+	net.Listener
+	table *connectionTable
+}
 
-// Accept waits for the next connection and wraps it in a pipeliningConn.
+// Accept waits for the next connection that there is room for and wraps it in a pipeliningConn.
 func (l pipeliningListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &pipeliningConn{Conn: conn, connectionState: connectionState{table: l.table}}
+		c.since.Store(time.Now().UnixNano())
+		if l.table.add(c) {
+			return c, nil
+		}
+		// The caller gets no response, so that an error does not matter.
+		_ = conn.Close()
 	}
-	return &pipeliningConn{Conn: conn}, nil
 }
 
 // pipeliningConn detects a disconnect also when the caller has pipelined further requests. While net/http serves a request, it
@@ -40,6 +52,7 @@
 // bytes instead and keeps reading until the caller disconnects.
 type pipeliningConn struct {
 	net.Conn
+	connectionState
 	mu sync.Mutex
 	// buffered holds bytes of pipelined requests: at most maxPipelinedBytes plus one read of pipelinedReadBytes.
 	buffered []byte
@@ -53,10 +66,17 @@
 	if len(p) == backgroundReadBytes && c.canReadAhead() {
 		return c.readAhead()
 	}
-	if n, err := c.readBuffered(p); n > 0 || err != nil {
-		return n, err
+	if c.mustClose() {
+		return 0, os.ErrDeadlineExceeded
+	}
+	n, err := c.readBuffered(p)
+	if n == 0 && err == nil {
+		n, err = c.Conn.Read(p)
+	}
+	if !c.countHead(n) {
+		return 0, os.ErrDeadlineExceeded
 	}
-	return c.Conn.Read(p)
+	return n, err
 }
 
 // canReadAhead reports whether the buffer has room and the connection has not failed.
@@ -86,7 +106,7 @@
 	if timeout := net.Error(nil); err != nil && (!errors.As(err, &timeout) || !timeout.Timeout()) {
 		c.readErr = err
 	}
-	return err == nil && len(c.buffered) < maxPipelinedBytes
+	return err == nil && len(c.buffered) < maxPipelinedBytes && c.countPipelined(len(read))
 }
 
 // readAhead buffers pipelined requests until the caller disconnects, the buffer is full, or net/http aborts the read by setting
@@ -110,6 +130,7 @@
 // Close closes the connection. When pipelined requests are unanswered, it shuts down the write side and drains the read side
 // first (a lingering close), so that the caller receives the last response completely.
 func (c *pipeliningConn) Close() error {
+	defer c.forget()
 	c.mu.Lock()
 	unread := len(c.buffered) > 0 && c.readErr == nil
 	c.mu.Unlock()
--- a/io/callers/server.go
+++ b/io/callers/server.go
@@ -27,7 +27,12 @@
 	// DrainNotice is the lame-duck period: a stopping server still accepts requests and answers with "Connection: close", so
 	// that no idle connection is closed while a caller sends a new request on it.
 	DrainNotice time.Duration
-	Logger      *slog.Logger
+	// MaxConnections bounds the open connections, and MaxHeadBytes the sum of the bytes by which the heads of requests exceed
+	// 4 KiB each; 0 sets no bound. Beyond them connections that wait for a request are closed, which OnClosed is told.
+	MaxConnections int
+	MaxHeadBytes   int64
+	OnClosed       func(reason string)
+	Logger         *slog.Logger
 }
 
 func (o Options) withDefaults() Options {
@@ -43,6 +48,9 @@
 	if o.DrainNotice == 0 {
 		o.DrainNotice = time.Second
 	}
+	if o.OnClosed == nil {
+		o.OnClosed = func(string) {}
+	}
 	return o
 }
 
@@ -53,17 +61,26 @@
 	draining atomic.Bool
 	group    errgroup.Group
 	done     chan struct{}
+	table    *connectionTable
+	// stopping ends the checks of the table.
+	stopping chan struct{}
 }
 
 // New returns a server that does not listen yet.
 func New(options Options) *Server {
-	s := &Server{options: options.withDefaults(), done: make(chan struct{})}
+	s := &Server{options: options.withDefaults(), done: make(chan struct{}), stopping: make(chan struct{})}
+	s.table = newConnectionTable(s.options)
 	s.http = &http.Server{
 		Handler:           s,
 		MaxHeaderBytes:    s.options.MaxHeaderBytes,
 		ReadHeaderTimeout: s.options.HeaderTimeout,
 		IdleTimeout:       s.options.IdleTimeout,
 		ConnContext:       withConnection,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			if c, ok := conn.(*pipeliningConn); ok {
+				c.setPhase(state)
+			}
+		},
 	}
 	if s.options.Logger != nil {
 		s.http.ErrorLog = slog.NewLogLogger(s.options.Logger.Handler(), slog.LevelWarn)
@@ -73,9 +90,14 @@
 
 // Start serves connections of listener until Shutdown.
 func (s *Server) Start(listener net.Listener) {
+	s.group.Go(func() error {
+		s.table.run(s.stopping)
+		return nil
+	})
 	s.group.Go(func() error {
 		defer close(s.done)
-		if err := s.http.Serve(pipeliningListener{listener}); !errors.Is(err, http.ErrServerClosed) {
+		defer close(s.stopping)
+		if err := s.http.Serve(pipeliningListener{listener, s.table}); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "serve callers")
 		}
 		return nil
@@ -94,6 +116,9 @@
 	s.options.Requests.ServeHTTP(w, r)
 }
 
+// Connections returns the number of open connections.
+func (s *Server) Connections() int { return s.table.count() }
+
 // Done is closed when the server has stopped listening.
 func (s *Server) Done() <-chan struct{} { return s.done }
 
