Take the bytes of bodies from one budget of the host

Change: bodies are read in chunks of 64 KiB, each taken from the budget of core/memory first. One that does not fit is left unread for up to 2 s and then refused with 503, memory-full and Retry-After, before it reached a server. One that has stalled loses its bytes to others. All bytes are given back when the response comes or the exchange ends, also by a panic. Buffered responses from 16 KiB and streams count as well; under pressure the caller that has not read for the longest time is cut off, also when its stream occupies the last connection to a server. The host sets the limits of connections and heads. Requests without a body take no lock and no allocation for this.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -91,6 +91,18 @@
 // Hash returns the number by which RendezvousWeight knows an object or a server.
 func Hash(name string) uint64 { return xxhash.Sum64String(name) }
 
+// HashParts returns the result of Hash for the concatenation of head and parts.
+func HashParts(head string, parts [][]byte) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	// A Digest returns no errors.
+	_, _ = digest.WriteString(head)
+	for _, part := range parts {
+		_, _ = digest.Write(part)
+	}
+	return digest.Sum64()
+}
+
 // Choose returns the candidate with the least expected time until a successful response.
 func Choose(r Request, candidates []Candidate) Choice {
 	homes := findHomes(candidates)
--- a/host/entry/answer.go
+++ b/host/entry/answer.go
@@ -16,6 +16,11 @@
 // completed.
 func (x *exchange) writeResponse(response *backends.Response) error {
 	x.status = response.Status
+	// The request is not sent again.
+	x.releaseBody()
+	if len(response.Body) >= chargedResponseBytes {
+		x.reserveResponse(len(response.Body))
+	}
 	callers.StripHopByHopHeaders(response.Header)
 	header := x.w.Header()
 	for name, values := range response.Header {
@@ -31,14 +36,19 @@
 		header["Content-Length"] = []string{strconv.Itoa(len(response.Body))}
 	}
 	x.w.WriteHeader(response.Status)
-	if _, err := x.w.Write(response.Body); err != nil && bodyAllowed {
+	if err := x.writeBuffered(response); err != nil && bodyAllowed {
 		discardResponse(response)
 		return errResponseAborted
 	}
 	if response.RemainingBody == nil {
 		return nil
 	}
-	if err := callers.Stream(x.w, response.RemainingBody); err != nil {
+	response.Body = nil
+	if x.responseReservation == nil {
+		x.reserveResponse(0)
+	}
+	x.responseReservation.streamFrom(x.lastServer.Address)
+	if err := callers.Stream(x.w, response.RemainingBody, x.extendWrite); err != nil {
 		discardResponse(response)
 		x.recordIncompleteResponse(err)
 		return errResponseAborted
--- a/host/entry/attempt.go
+++ b/host/entry/attempt.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"net/url"
@@ -57,6 +56,9 @@
 		if failure.Cause == backends.CauseDial {
 			x.host.recordDialFailure(s, failure, now)
 		}
+		if failure.Cause == backends.CausePoolExhausted {
+			x.host.bodyMemory.evictStalledStream(s.Address)
+		}
 		return attemptResult{retryable: serverUnreachable()}
 	}
 	x.possibleRuns++
@@ -178,8 +180,8 @@
 		},
 		Host: x.r.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody,
 	}
-	if len(x.body) > 0 {
-		request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(x.body)), int64(len(x.body))
+	if x.body.length > 0 {
+		request.Body, request.ContentLength = io.NopCloser(x.body.reader()), x.body.length
 	}
 	return request
 }
--- a/host/entry/crash_evidence_test.go
+++ b/host/entry/crash_evidence_test.go
@@ -72,7 +72,7 @@
 	r, _ := http.NewRequest(http.MethodPost, "/read/1", http.NoBody)
 	r.RequestURI, r.Host = "/read/1", "example.com"
 	team, _ := h.view.Load().configuration.TeamByAPIKey("red-key")
-	fingerprint := (&exchange{host: h, r: r, team: team, body: []byte("body")}).computeFingerprint()
+	fingerprint := (&exchange{host: h, r: r, team: team, body: bufferedBody{chunks: [][]byte{[]byte("body")}, length: 4}}).computeFingerprint()
 	h.crashTracker.recordReported(h.now(), Crash{Fingerprint: fingerprint, Number: 1})
 	if got := serve(h, "/read/1", "red-key"); got.Code != http.StatusBadGateway || first.requests()+second.requests() != 1 {
 		t.Errorf("status %d after %d requests, want 502 after 1", got.Code, first.requests()+second.requests())
--- a/host/entry/host.go
+++ b/host/entry/host.go
@@ -18,6 +18,7 @@
 
 	"vanillatally/core/admission"
 	"vanillatally/core/config"
+	"vanillatally/core/memory"
 	"vanillatally/core/retry"
 	"vanillatally/core/rollout"
 	"vanillatally/io/backends"
@@ -76,6 +77,7 @@
 	queuePressures    queuePressures
 	serverLimits      serverLimits
 	coldNotices       coldNotices
+	bodyMemory        *bodyMemory
 
 	// random returns uniform numbers in [0, 1) for choices between equal servers; tests replace it.
 	random func() float64
@@ -147,6 +149,7 @@
 	h.spillovers.entries = map[string]serviceSpillover{}
 	h.stalenessDetector = newStalenessDetector()
 	h.serviceTimes = serviceTimes{entries: map[routeServiceKey]*routeServiceTimes{}, services: map[string]*meanServiceTime{}}
+	h.bodyMemory = newBodyMemory(h, memory.LimitsFor(h.memoryBytes(), o.Settings.Limits.BodyBytes))
 	h.teams.host = h
 	h.serverLimits = serverLimits{host: h, entries: map[incarnation]*serverLimit{}}
 	h.coldNotices = coldNotices{host: h, entries: map[incarnation]*coldNotice{}}
@@ -168,6 +171,8 @@
 	h.callers = callers.New(callers.Options{
 		Requests: h, MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
 		DrainNotice: drainNotice, Logger: o.Log.Logger(),
+		MaxConnections: h.maxCallerConnections(), MaxHeadBytes: memory.MaxHeadBytes(h.memoryBytes()),
+		OnClosed: h.connectionClosed,
 	})
 	return h
 }
@@ -186,6 +191,12 @@
 		defer h.mu.Unlock()
 		return float64(len(h.servers))
 	})
+	h.metrics.Gauge("caller-connections", func() float64 { return float64(h.callers.Connections()) })
+	for part, name := range map[memory.Part]string{
+		memory.Small: "small-body-bytes", memory.Large: "large-body-bytes", memory.Responses: "response-bytes",
+	} {
+		h.metrics.Gauge(name, func() float64 { return float64(h.bodyMemory.used(part)) })
+	}
 	h.metrics.Gauge("limited-servers", func() float64 { return float64(h.serverLimits.limited.Load()) })
 	h.metrics.Gauge("store-reached", func() float64 {
 		if h.reachesStore() {
--- a/host/entry/request.go
+++ b/host/entry/request.go
@@ -1,9 +1,7 @@
 package entry
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -48,7 +46,9 @@
 	idempotent bool
 	service    string
 	deadline   time.Time
-	body       []byte
+	body       bufferedBody
+	// bodyReservation and responseReservation hold the memory of the bodies; nil without one.
+	bodyReservation, responseReservation *bodyReservation
 	// affinityKey is the hash of the route and of the affinity key in the request's header; 0 if the request has none.
 	affinityKey uint64
 	// fingerprint is the result of computeFingerprint, by which the crash tracker recognizes the request.
@@ -84,6 +84,8 @@
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
 	x := &exchange{host: h, w: w, r: r, received: time.Now(), context: r.Context(), id: r.Header.Get(h.headerNames.RequestID)}
+	// A panic must give the memory back too.
+	defer x.releaseAll()
 	err := x.serve()
 	var refusal *callers.Refusal
 	if errors.As(err, &refusal) {
@@ -204,7 +206,7 @@
 }
 
 // readBody buffers the whole body, so that it can be sent to another server in a retry and a slow caller does not occupy a
-// server.
+// server. The body's bytes are taken from the host's budget as they arrive.
 func (x *exchange) readBody(c *config.Configuration) error {
 	if x.r.Body == nil || x.r.Body == http.NoBody || x.r.ContentLength == 0 {
 		return nil
@@ -214,25 +216,22 @@
 		limit = min(limit, stated)
 	}
 	if x.r.ContentLength > limit {
-		return callers.Refuse(http.StatusRequestEntityTooLarge, "body-too-large",
-			"the body exceeds "+strconv.FormatInt(limit, 10)+" bytes")
+		return bodyTooLarge(limit)
 	}
 	// An error means that this ResponseWriter does not support deadlines.
 	_ = http.NewResponseController(x.w).SetReadDeadline(x.deadline)
-	var buffer bytes.Buffer
-	if x.r.ContentLength > 0 {
-		buffer.Grow(int(min(x.r.ContentLength, 1<<20)))
-	}
-	_, err := io.Copy(&buffer, http.MaxBytesReader(x.w, x.r.Body, limit))
-	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
-		return callers.Refuse(http.StatusRequestEntityTooLarge, "body-too-large",
-			"the body exceeds "+strconv.FormatInt(limit, 10)+" bytes")
-	}
-	if err != nil {
+	err := x.receiveBody(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength)
+	var refusal *callers.Refusal
+	tooLarge := new(http.MaxBytesError)
+	switch {
+	case errors.As(err, &refusal):
+		return err
+	case errors.As(err, &tooLarge):
+		return bodyTooLarge(limit)
+	case err != nil:
 		return callers.Refuse(http.StatusRequestTimeout, "body-incomplete", "the request's body could not be read in time")
 	}
 	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
-	x.body = buffer.Bytes()
 	return nil
 }
 
@@ -242,7 +241,11 @@
 	if x.team != nil {
 		team = x.team.Name
 	}
-	return placement.Hash(strings.Join([]string{team, x.r.Method, x.r.Host, x.r.RequestURI, string(x.body)}, "\x00"))
+	head := strings.Join([]string{team, x.r.Method, x.r.Host, x.r.RequestURI, ""}, "\x00")
+	if x.body.length == 0 {
+		return placement.Hash(head)
+	}
+	return placement.HashParts(head, x.body.chunks)
 }
 
 // forward sends the request to one server after the other until one answers, an attempt must not be repeated, or a limit is
--- a/host/request/answer.go
+++ b/host/request/answer.go
@@ -50,7 +50,7 @@
 		return x.abortResponse()
 	}
 	if response.RemainingBody != nil {
-		if err := callers.Stream(x.w, response.RemainingBody); err != nil {
+		if err := callers.Stream(x.w, response.RemainingBody, nil); err != nil {
 			return x.abortResponse()
 		}
 	}
--- a/io/callers/stream.go
+++ b/io/callers/stream.go
@@ -8,18 +8,32 @@
 	"github.com/cockroachdb/errors"
 )
 
-// writeTimeout bounds one write of at most 32 KiB to a slow caller.
-const writeTimeout = 30 * time.Second
+const (
+	// WriteTimeout bounds one write of at most StreamChunkBytes to a slow caller.
+	WriteTimeout = 30 * time.Second
+	// StreamChunkBytes is the size of the buffer with which a long response is streamed.
+	StreamChunkBytes = 32 << 10
+)
 
 // Stream copies the rest of a long response to the caller as it arrives. An error means that the caller got it incompletely.
-func Stream(w http.ResponseWriter, rest io.Reader) error {
+// extend is called before each write; it sets the write deadline, or returns an error that ends the response. With nil, each
+// write gets WriteTimeout.
+func Stream(w http.ResponseWriter, rest io.Reader, extend func() error) error {
 	control := http.NewResponseController(w)
-	buffer := make([]byte, 32<<10)
+	if extend == nil {
+		extend = func() error {
+			// Writers that do not support deadlines return an error, which does not matter.
+			_ = control.SetWriteDeadline(time.Now().Add(WriteTimeout))
+			return nil
+		}
+	}
+	buffer := make([]byte, StreamChunkBytes)
 	for {
 		n, err := rest.Read(buffer)
 		if n > 0 {
-			// Writers that do not support deadlines return an error, which does not matter.
-			_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if err := extend(); err != nil {
+				return err
+			}
 			if _, err := w.Write(buffer[:n]); err != nil {
 				return err
 			}
--- a/io/events/catalogue.go
+++ b/io/events/catalogue.go
@@ -108,6 +108,14 @@
 		505, slog.LevelWarn, "crash counts against a request",
 		"A backend server that left the request unanswered has crashed. The line gives the evidence, or the host that reported the crash. After two crashes the request is quarantined.",
 	}
+	BodyRefused = Event{
+		506, slog.LevelWarn, "request body was refused for lack of memory",
+		"The bodies of requests fill the host's budget. The line says how much of the body had arrived and how full the parts of the budget are. The request did not run. docs/operators.md, Memory, has the limits.",
+	}
+	ConnectionsLimited = Event{
+		507, slog.LevelWarn, "connections of callers were closed",
+		"The host has as many connections, or as long heads of requests, as its memory and descriptors allow. The reason is connections (idle ones are closed for new ones), heads, or blocked-write: a caller did not read its response for 30 s.",
+	}
 	MoveStep = Event{
 		600, slog.LevelInfo, "share or phase of a move changed",
 		"A rollout or shift reached another step; the line gives its new state.",
@@ -215,7 +223,7 @@
 	HostStarting, HostReady, HostDraining, HostStopped, DrainTimedOut, ComponentFailed,
 	ConfigApplied, ConfigChanged, ConfigInvalid, ConfigStale,
 	MemberChanged, LedgerChanged, LeaseExpired, PeerRejected, LedgerLeaveFailed, PeerStateChanged, PeerSendFailed,
-	RequestRefused, RequestQuarantined, RequestServed, LinesOmitted, AttemptUnanswered, CrashCounted,
+	RequestRefused, RequestQuarantined, RequestServed, LinesOmitted, AttemptUnanswered, CrashCounted, BodyRefused, ConnectionsLimited,
 	MoveStep, MoveReverted, MoveFinished, MoveRecordFailed,
 	ServerListReadFailed, StoreUnavailable, StoreRecovered, StoreObjectInvalid, ServerAdded, ServerLeaving, ServerRemoved,
 	DomainEvacuated, DomainRestored, ServerUnreachable, ServerReachable, HostRegistered, SettingsReloaded, SettingsRejected,
--- a/io/settings/entry_host.go
+++ b/io/settings/entry_host.go
@@ -51,6 +51,10 @@
 	ExposureShare float64 `toml:"exposure-share"`
 	// RequestBytes is the largest request body.
 	RequestBytes int64 `toml:"request-bytes"`
+	// BodyBytes bounds the bytes of all large request bodies together, and CallerConnections the open connections of
+	// callers. With 0 they follow from MemoryBytes and the limit of descriptors. They take effect at the start.
+	BodyBytes         int64 `toml:"body-bytes"`
+	CallerConnections int64 `toml:"caller-connections"`
 	// LookupHosts is the largest number of hosts that the callers of one failure domain are sent to. With fewer hosts,
 	// each reuses its connections to the backend servers more.
 	LookupHosts int64 `toml:"lookup-hosts"`
@@ -94,6 +98,8 @@
 	checkAmount("limits.retry-slack", func(s EntryHost) float64 { return s.Limits.RetrySlack }),
 	checkAmount("limits.rate-slack", func(s EntryHost) float64 { return s.Limits.RateSlack }),
 	checkInteger("limits.lookup-hosts", 1, 64, func(s EntryHost) int64 { return s.Limits.LookupHosts }),
+	checkInteger("limits.body-bytes", 0, 1<<40, func(s EntryHost) int64 { return s.Limits.BodyBytes }),
+	checkInteger("limits.caller-connections", 0, 1<<20, func(s EntryHost) int64 { return s.Limits.CallerConnections }),
 	checkInteger("limits.request-bytes", 1024, 1<<30, func(s EntryHost) int64 { return s.Limits.RequestBytes }),
 }
 
--- a/io/settings/entry_host_test.go
+++ b/io/settings/entry_host_test.go
@@ -34,7 +34,7 @@
 	}
 	for _, invalid := range []string{
 		"retry-share = 1.5", "exposure-share = -0.1", "retry-slack = -1.0", "rate-slack = 1e9", "lookup-hosts = 0", "lookup-hosts = 65",
-		"request-bytes = 1", `grace = "1ms"`, `lookup-ttl = "1h"`, "unknown = 1",
+		"request-bytes = 1", "body-bytes = -1", "caller-connections = -1", `grace = "1ms"`, `lookup-ttl = "1h"`, "unknown = 1",
 	} {
 		key, _, _ := strings.Cut(invalid, " ")
 		if err := read(invalid); err == nil || !strings.Contains(err.Error(), key) {
