--- a/host/entry/answer.go
+++ b/host/entry/answer.go
@@ -41,6 +41,7 @@
 		return errResponseAborted
 	}
 	if response.RemainingBody == nil {
+		x.finishResponse()
 		return nil
 	}
 	response.Body = nil
@@ -53,6 +54,7 @@
 		x.recordIncompleteResponse(err)
 		return errResponseAborted
 	}
+	x.finishResponse()
 	x.host.crashTracker.recordAnswer(x.host.now(), x.lastServer.Address, x.fingerprint, x.attemptStarted)
 	return nil
 }
--- a/host/entry/body_memory.go
+++ b/host/entry/body_memory.go
@@ -275,12 +275,21 @@
 		}
 		rest = rest[n:]
 	}
-	if response.RemainingBody == nil {
-		_ = http.NewResponseController(x.w).SetWriteDeadline(time.Time{})
-	}
 	return nil
 }
 
+// finishResponse gives the memory of a response back that was written whole, and clears the deadline of an eviction that came
+// too late, so that it does not end the next response of the connection.
+func (x *exchange) finishResponse() {
+	if x.responseReservation == nil {
+		return
+	}
+	x.responseReservation.release()
+	x.responseReservation = nil
+	// Writers that do not support deadlines return an error, which does not matter.
+	_ = http.NewResponseController(x.w).SetWriteDeadline(time.Time{})
+}
+
 // releaseAll gives the memory of both bodies back.
 func (x *exchange) releaseAll() {
 	x.releaseBody()
--- a/host/entry/body_memory_test.go
+++ b/host/entry/body_memory_test.go
@@ -228,6 +228,40 @@
 	}
 }
 
+// Guards against a response that was evicted just when it was complete: the deadline of the eviction must not end the next
+// response of the connection.
+func TestLateEvictionLeavesConnectionUsable(t *testing.T) {
+	h := newTestHost(t, newBackend(t, answerOK))
+	deadlines := &lastDeadline{ResponseRecorder: httptest.NewRecorder()}
+	x := &exchange{host: h, w: deadlines}
+	x.reserveResponse(chargedResponseBytes)
+	if err := x.extendWrite(); err != nil || deadlines.write.IsZero() {
+		t.Fatalf("deadline %v, error %v before the eviction", deadlines.write, err)
+	}
+	h.bodyMemory.mu.Lock()
+	h.bodyMemory.apply(memory.Change{Evicted: []memory.ID{x.responseReservation.id}})
+	h.bodyMemory.mu.Unlock()
+	if err := x.extendWrite(); !errors.Is(err, errEvicted) || !deadlines.write.Equal(pastDeadline) {
+		t.Errorf("deadline %v, error %v after the eviction", deadlines.write, err)
+	}
+	x.finishResponse()
+	if !deadlines.write.IsZero() {
+		t.Errorf("deadline %v after the response, want none", deadlines.write)
+	}
+	h.bodyMemory.expectEmpty(t)
+}
+
+// lastDeadline records the write deadline that was set last.
+type lastDeadline struct {
+	*httptest.ResponseRecorder
+	write time.Time
+}
+
+func (l *lastDeadline) SetWriteDeadline(at time.Time) error {
+	l.write = at
+	return nil
+}
+
 // Guards against requests without a body that allocate or lock for the budget of bodies.
 func TestRequestWithoutBodyTakesNoMemory(t *testing.T) {
 	h := newTestHost(t, newBackend(t, answerOK))
