--- a/host/entry/answer.go
+++ b/host/entry/answer.go
@@ -18,6 +18,11 @@
 	// Closes the server's connection if the response was not read to its end, also when a write panics.
 	defer discardResponse(response)
 	x.status = response.Status
+	// The request is not sent again.
+	x.releaseBody()
+	if len(response.Body) >= chargedResponseBytes {
+		x.reserveResponse(len(response.Body))
+	}
 	callers.StripHopByHopHeaders(response.Header)
 	header := x.w.Header()
 	for name, values := range response.Header {
@@ -33,16 +38,23 @@
 		header["Content-Length"] = []string{strconv.Itoa(len(response.Body))}
 	}
 	x.w.WriteHeader(response.Status)
-	if _, err := x.w.Write(response.Body); err != nil && bodyAllowed {
+	if err := x.writeBuffered(response); err != nil && bodyAllowed {
 		return errResponseAborted
 	}
 	if response.RemainingBody == nil {
+		x.finishResponse()
 		return nil
 	}
-	if err := callers.Stream(x.w, response.RemainingBody); err != nil {
+	response.Body = nil
+	if x.responseReservation == nil {
+		x.reserveResponse(0)
+	}
+	x.responseReservation.streamFrom(x.lastServer.Address)
+	if err := callers.Stream(x.w, response.RemainingBody, x.extendWrite); err != nil {
 		x.recordIncompleteResponse(err)
 		return errResponseAborted
 	}
+	x.finishResponse()
 	x.host.crashTracker.recordAnswer(x.host.now(), x.lastServer.Address, x.fingerprint, x.attemptStarted)
 	return nil
 }
--- a/host/request/answer.go
+++ b/host/request/answer.go
@@ -52,7 +52,7 @@
 		return errResponseAborted
 	}
 	if response.RemainingBody != nil {
-		if err := callers.Stream(x.w, response.RemainingBody); err != nil {
+		if err := callers.Stream(x.w, response.RemainingBody, nil); err != nil {
 			return errResponseAborted
 		}
 	}
