Adapt the concurrency limit of a host that has just started to the servers it learns of

Cause: a host that restarts makes its limits before it has the list of servers; the first limit for no slots (4) stayed when the servers arrived, and grew slowly.

Ruled out: the hosts' memory limits, rate limits and the retry budget (none of their reasons stands out in the log).

Change: before the first response, a changed number of slots gives a new first limit; later the limit changes in proportion.

A table test fails on the earlier code.

--- a/core/concurrency/limit.go
+++ b/core/concurrency/limit.go
@@ -10,6 +10,10 @@
 type Limit struct {
 	// value is at least minLimit and at most most.
 	value, most float64
+	// hosts is the number of hosts that share the slots, as far as is known at the start.
+	hosts int
+	// adapted is set after the first response.
+	adapted bool
 }
 
 const (
@@ -34,13 +38,19 @@
 // New returns the limit of a host before it has seen responses, for servers with the given number of slots, shared by hosts.
 func New(slots, hosts int) Limit {
 	most := max(minLimit, float64(slots)*maxPerSlot)
-	return Limit{value: min(max(minLimit, initialShare*float64(slots)/float64(max(hosts, 1))), most), most: most}
+	return Limit{
+		value: min(max(minLimit, initialShare*float64(slots)/float64(max(hosts, 1))), most), most: most, hosts: hosts,
+	}
 }
 
-// WithSlots returns the limit after the number of the servers' slots has changed.
+// WithSlots returns the limit after the number of the servers' slots has changed: the limit changes in proportion. Before the
+// first response it is the first limit for the new number, since a host that starts learns of the servers one by one.
 func (l Limit) WithSlots(slots int) Limit {
-	l.most = max(minLimit, float64(slots)*maxPerSlot)
-	l.value = min(l.value, l.most)
+	if !l.adapted {
+		return New(slots, l.hosts)
+	}
+	most := max(minLimit, float64(slots)*maxPerSlot)
+	l.value, l.most = min(max(l.value*most/l.most, minLimit), most), most
 	return l
 }
 
@@ -58,6 +68,7 @@
 
 // WithResponse returns the limit after a response that arrived while the host had inFlight requests at the servers.
 func (l Limit) WithResponse(r Response, inFlight int) Limit {
+	l.adapted = true
 	switch {
 	case r.queues():
 		l.value = max(l.value-decreaseFraction, minLimit)
--- a/core/concurrency/limit_test.go
+++ b/core/concurrency/limit_test.go
@@ -137,12 +137,19 @@
 	if l.Value() > 900*maxPerSlot {
 		t.Errorf("without queues, the limit is %v", l.Value())
 	}
-	if idle := New(900, 12); idle.WithResponse(Response{}, 1) != idle {
+	if idle := New(900, 12); idle.WithResponse(Response{}, 1).Value() != idle.Value() {
 		t.Error("the limit of an idle host rises")
 	}
 	if few := l.WithSlots(10); few.Value() > 10*maxPerSlot {
 		t.Errorf("with 10 slots, the limit is %v", few.Value())
 	}
+	if New(0, 6).WithSlots(900) != New(900, 6) {
+		t.Error("a host that learns of the servers after its start keeps the limit for no servers")
+	}
+	half := New(900, 6).WithResponse(Response{Full: true}, 10)
+	if more := half.WithSlots(1800); more.Value() != 2*half.Value() {
+		t.Errorf("with twice the slots the limit goes from %v to %v", half.Value(), more.Value())
+	}
 	if New(0, 0).Value() < minLimit {
 		t.Error("a host that knows no servers may send nothing")
 	}
