--- a/host/entry/attempt.go
+++ b/host/entry/attempt.go
@@ -89,7 +89,7 @@
 	x.possibleRuns++
 	switch failure.Cause {
 	case backends.CauseCancelled:
-		return attemptResult{final: callers.Refuse(statusClientClosedRequest, "caller-gone", "the caller has left")}
+		return attemptResult{final: callerGone()}
 	case backends.CauseDeadline:
 		observation.record(false, true)
 		s.recordResult(now, true)
@@ -240,6 +240,10 @@
 	return request
 }
 
+func callerGone() *callers.Refusal {
+	return callers.Refuse(statusClientClosedRequest, "caller-gone", "the caller has left")
+}
+
 func deadlineExceeded() *callers.Refusal {
 	return callers.Refuse(http.StatusServiceUnavailable, "deadline-exceeded", "the request's time is over")
 }
--- a/host/entry/host.go
+++ b/host/entry/host.go
@@ -110,7 +110,8 @@
 	// viewReady is closed once there are a configuration and a list of servers.
 	viewReady chan struct{}
 	// probes runs the probes of servers; closing stopping ends them.
-	probes   errgroup.Group
+	probes errgroup.Group
+	// stopping is closed when the host stops, after draining is set in a planned stop.
 	stopping chan struct{}
 	done     chan struct{}
 }
@@ -202,6 +203,7 @@
 	} {
 		h.metrics.Gauge(name, func() float64 { return float64(h.bodyMemory.used(part)) })
 	}
+	h.metrics.Gauge("concurrency-limit", h.waitingLines.totalLimit)
 	h.metrics.Gauge("limited-servers", func() float64 { return float64(h.serverLimits.limited.Load()) })
 	h.metrics.Gauge("store-reached", func() float64 {
 		if h.reachesStore() {
@@ -294,8 +296,6 @@
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
-			// End the probes first: one may take as long as the rest of the grace period.
-			close(h.stopping)
 			h.drain()
 		case <-taskCtx.Done():
 			close(h.stopping)
@@ -362,6 +362,8 @@
 	limit := time.Duration(h.limits.Load().GracePeriod) - drainMargin
 	h.drainDeadline.Store(int64(h.now() + limit))
 	h.draining.Store(true)
+	// A probe may take as long as the rest of the grace period. Requests that wait for a slot must learn of its end.
+	close(h.stopping)
 	h.log.Emit(events.HostDraining, "in-flight", h.inFlight.Load())
 	h.fleet.sendHeartbeats()
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
--- a/host/entry/request.go
+++ b/host/entry/request.go
@@ -186,18 +186,24 @@
 			x.deadline = at
 		}
 	}
-	if x.host.draining.Load() {
-		// Requests that cannot finish within the grace period still get a response before the host closes its connections.
-		if at := x.host.start.Add(time.Duration(x.host.drainDeadline.Load()) - drainResponseMargin); at.Before(x.deadline) {
-			x.deadline = at
-		}
-	}
+	x.limitToDrain()
 	if affinityKey := x.r.Header.Get(x.host.headerNames.AffinityKey); affinityKey != "" && x.route.Sticky {
 		x.affinityKey = placement.Hash(x.routeName + " " + affinityKey)
 	}
 	return nil
 }
 
+// limitToDrain ends the request's time with the drain, if the host is draining: requests that cannot finish within the grace
+// period still get a response before the host closes its connections.
+func (x *exchange) limitToDrain() {
+	if !x.host.draining.Load() {
+		return
+	}
+	if at := x.host.start.Add(time.Duration(x.host.drainDeadline.Load()) - drainResponseMargin); at.Before(x.deadline) {
+		x.deadline = at
+	}
+}
+
 // checkRate takes a token of the team's rate limit, and refuses the request if there is none.
 func (x *exchange) checkRate() error {
 	if x.team == nil {
@@ -264,7 +270,7 @@
 	}
 	for {
 		if (x.idempotent || x.possibleRuns == 0) && callers.Disconnected(x.r.Context()) {
-			return x.fail(callers.Refuse(statusClientClosedRequest, "caller-gone", "the caller has left"))
+			return x.fail(callerGone())
 		}
 		if x.host.crashTracker.isQuarantined(x.host.now(), x.fingerprint) {
 			return x.fail(callers.Refuse(http.StatusServiceUnavailable, "quarantined",
--- a/host/entry/waiting_line.go
+++ b/host/entry/waiting_line.go
@@ -1,11 +1,11 @@
 package entry
 
 import (
-	"context"
 	"net/http"
 	"sync"
 	"time"
 
+	"vanillatally/core/admission"
 	"vanillatally/core/concurrency"
 	"vanillatally/core/config"
 	"vanillatally/core/share"
@@ -23,7 +23,8 @@
 type waitingLines struct {
 	host *Host
 	mu   sync.Mutex
-	// entries holds at most one line for each service of the configuration.
+	// entries holds at most one line for each service of the configuration. A request that began under an earlier configuration
+	// may add a service of that one, which the next configuration removes.
 	entries map[string]*waitingLine
 }
 
@@ -75,24 +76,44 @@
 	return ranked
 }
 
-// forService returns the line of the service, or nil if its requests don't differ in rank.
+// forService returns the line of the service, or nil if its requests don't differ in rank. It also returns nil while no server
+// is known, since a limit that is set without servers would be far too low for them when they are listed.
 func (l *waitingLines) forService(v *view, service string) *waitingLine {
-	if !v.ranked[service] {
+	slots := v.slots[service]
+	if !v.ranked[service] || slots == 0 {
 		return nil
 	}
+	line := l.getOrCreate(service, slots)
+	line.setSlots(slots)
+	return line
+}
+
+// getOrCreate returns the line of the service, a new one if there is none.
+func (l *waitingLines) getOrCreate(service string, slots int) *waitingLine {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	line := l.entries[service]
 	if line == nil {
 		// Each failure domain has at least one host that callers are sent to.
 		hosts := len(l.host.settings.Regions)
-		line = &waitingLine{limit: concurrency.New(v.slots[service], hosts), line: waiting.New[*waiter](waiting.Limits{})}
+		line = &waitingLine{limit: concurrency.New(slots, hosts), line: waiting.New[*waiter](waiting.Limits{})}
 		l.entries[service] = line
 	}
-	line.setSlots(v.slots[service])
 	return line
 }
 
+// totalLimit returns the sum of the concurrency limits of all services with a line.
+func (l *waitingLines) totalLimit() (sum float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, line := range l.entries {
+		line.mu.Lock()
+		sum += line.limit.Value()
+		line.mu.Unlock()
+	}
+	return sum
+}
+
 // prune removes the lines of services that the configuration no longer ranks. Requests that wait there still end at their
 // deadlines.
 func (l *waitingLines) prune(ranked map[string]bool) {
@@ -114,43 +135,75 @@
 
 // enter waits until the request may be sent. It returns a refusal if the request cannot be answered in time, or has to make room
 // for others. Each call that returns nil must be followed by one of leave.
-func (l *waitingLine) enter(ctx context.Context, x *exchange, request waiting.Request[*waiter]) *callers.Refusal {
-	h := x.host
+func (l *waitingLine) enter(x *exchange, request waiting.Request[*waiter]) *callers.Refusal {
 	w := &waiter{decided: make(chan struct{})}
 	request.Value = w
+	ticket, depth := l.push(x.host.now(), request)
+	x.awaitSlot(w, request.Work)
+	return l.conclude(x, w, ticket, request.Rank, depth)
+}
+
+// push enqueues the request and starts what the limit allows. It returns the request's ticket and the length of the line.
+func (l *waitingLine) push(now time.Duration, request waiting.Request[*waiter]) (ticket *waiting.Ticket[*waiter], depth int) {
 	l.mu.Lock()
-	now := h.now()
+	defer l.mu.Unlock()
 	l.refuse(l.line.Expired(now))
 	ticket, evicted := l.line.Push(now, request)
 	l.refuse(evicted)
 	l.startNext(now)
-	depth := l.line.Len()
-	l.mu.Unlock()
+	return ticket, l.line.Len()
+}
+
+// awaitSlot returns when the request has started or was refused, its caller has left, or it has waited for too long to be
+// answered in time. work is the expected service time.
+func (x *exchange) awaitSlot(w *waiter, work time.Duration) {
 	select {
 	case <-w.decided:
+		return
 	default:
-		h.metrics.Count("requests-queued", "", x.routeName, "", 1)
-		timer := time.NewTimer(time.Duration(waitFraction * float64(latencyObjective(x.route))))
-		defer timer.Stop()
+	}
+	began := time.Now()
+	x.host.metrics.Count("requests-queued", "", x.routeName, "", 1)
+	defer func() { x.host.metrics.Observe("queue-wait", "", x.routeName, "host", time.Since(began)) }()
+	until := began.Add(time.Duration(waitFraction * float64(latencyObjective(x.route))))
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	stopping := x.host.stopping
+	for {
+		timer.Reset(min(time.Until(until), time.Until(x.deadline)-work))
 		select {
+		case <-stopping:
+			x.limitToDrain()
+			stopping = nil
 		case <-w.decided:
+			return
 		case <-timer.C:
-		case <-ctx.Done():
+			return
+		case <-x.r.Context().Done():
+			return
 		}
-		h.metrics.Observe("queue-wait", "", x.routeName, "host", h.now()-now)
 	}
+}
+
+// conclude removes the request from the line if it has not started, and returns its refusal.
+func (l *waitingLine) conclude(x *exchange, w *waiter, ticket *waiting.Ticket[*waiter], rank, depth int) *callers.Refusal {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if w.started {
 		return nil
 	}
-	if ticket != nil {
-		l.line.Remove(ticket)
+	l.line.Remove(ticket)
+	if x.r.Context().Err() != nil {
+		return callerGone()
+	}
+	now, random := x.host.now(), x.host.random()
+	after := l.line.RetryAfter(now, rank, l.started.At(now), random)
+	if after > maxRetryAfter {
+		// The bound alone would let all callers return at the same time.
+		after = time.Duration((1 + random) / 2 * float64(maxRetryAfter))
 	}
-	after := l.line.RetryAfter(h.now(), request.Rank, l.started.At(h.now()), h.random())
-	x.logAttributes = append(x.logAttributes, "rank", request.Rank, "queued", depth, "limit", l.limit.Value(), "in-flight", l.inFlight)
-	return callers.Refuse(http.StatusServiceUnavailable, "no-slot", "no backend server has a free slot in time").
-		WithRetryAfter(min(after, maxRetryAfter))
+	x.logAttributes = append(x.logAttributes, "rank", rank, "queued", depth, "limit", l.limit.Value(), "in-flight", l.inFlight)
+	return callers.Refuse(http.StatusServiceUnavailable, "no-slot", "no backend server has a free slot in time").WithRetryAfter(after)
 }
 
 // reenter counts a request that is sent again after an attempt.
@@ -208,17 +261,23 @@
 	if x.line == nil {
 		return nil
 	}
-	now := x.host.now()
 	work, _, _ := x.serviceTimes.estimates()
+	timeLeft := time.Until(x.deadline)
+	if timeLeft < work {
+		return callers.Refuse(http.StatusServiceUnavailable, string(admission.DeadlineUnreachable),
+			"no backend server can answer in time").WithRetryAfter(shortRetryAfter)
+	}
+	now := x.host.now()
 	request := waiting.Request[*waiter]{
-		Rank: x.rank(), Work: work, Objective: now + latencyObjective(x.route) - time.Since(x.received),
-		Deadline: now + time.Until(x.deadline),
+		Rank: x.rank(), Work: work, Objective: now + latencyObjective(x.route) - time.Since(x.received), Deadline: now + timeLeft,
 	}
 	if x.team != nil {
 		request.Team, request.Weight = x.team.Name, x.team.Rate
 	}
-	refusal := x.line.enter(x.r.Context(), x, request)
+	refusal := x.line.enter(x, request)
 	x.inLine = refusal == nil
+	// The drain may have begun during the wait.
+	x.limitToDrain()
 	return refusal
 }
 
@@ -236,17 +295,32 @@
 		return
 	}
 	x.inLine = false
-	var seen *concurrency.Response
-	if response != nil && response.Status != http.StatusMisdirectedRequest {
-		if report, invalid := parseLoadReport(response.Header.Get(x.host.headerNames.ServerLoad)); invalid != invalidReport {
-			rejected := response.Header.Get(x.host.headerNames.NotRun) != ""
-			warm, _, mean := x.serviceTimes.estimates()
-			seen = &concurrency.Response{
-				Wait:    mean * time.Duration(report.waiting) / time.Duration(max(report.slots, 1)),
-				Allowed: latencyObjective(x.route) - warm,
-				Full:    rejected && !report.hasFreeSlot(),
-			}
-		}
+	x.line.leave(x.host.now(), x.queueReport(response))
+}
+
+// queueReport returns what the response says of the queue of its server; nil if it says nothing.
+func (x *exchange) queueReport(response *backends.Response) *concurrency.Response {
+	if response == nil || response.Status == http.StatusMisdirectedRequest {
+		return nil
+	}
+	report, invalid := parseLoadReport(response.Header.Get(x.host.headerNames.ServerLoad))
+	if invalid == invalidReport {
+		return nil
 	}
-	x.line.leave(x.host.now(), seen)
+	rejected := response.Header.Get(x.host.headerNames.NotRun) != ""
+	warm, _, mean := x.serviceTimes.estimates()
+	return &concurrency.Response{
+		Wait:    queueTime(mean, report),
+		Allowed: latencyObjective(x.route) - warm,
+		Full:    rejected && !report.hasFreeSlot(),
+	}
+}
+
+// maxQueueTime bounds the expected wait at a server, so that a report of an absurd number of requests does not overflow it.
+const maxQueueTime = time.Hour
+
+// queueTime returns how long a request waits at a server that takes mean for a request.
+func queueTime(mean time.Duration, report loadReport) time.Duration {
+	wait := float64(mean) * float64(report.waiting) / float64(max(report.slots, 1))
+	return time.Duration(min(wait, float64(maxQueueTime)))
 }
