host/entry: rank the services of split routes and of the teams' own routes

Cause: the priority of a team was counted for the service of a route only, not for the services of a split route, whose requests then had no line; and for routes that the team may not use, whose requests then had one without need.

Change: priorities count for each service of a route, and only those of teams that may use it.

Result: TestRankedServices failed in these cases ("a team and a split route: service "a" is ranked: false, want true"; "a team of another route: service "a" is ranked: true, want false") and passes now.

--- a/host/entry/waiting_line.go
+++ b/host/entry/waiting_line.go
@@ -47,7 +47,8 @@
 	started bool
 }
 
-// rankedServices returns the services whose requests differ in rank, by the priorities of routes and teams.
+// rankedServices returns the services whose requests differ in rank, by the priorities of routes and of the teams that may use
+// them.
 func rankedServices(c *config.Configuration) map[string]bool {
 	ranks := map[string]map[int]bool{}
 	add := func(service string, rank int) {
@@ -56,16 +57,19 @@
 		}
 		ranks[service][rank] = true
 	}
-	for _, route := range c.Routes {
-		if len(route.Split) == 0 {
-			add(route.Service, route.Priority)
-		}
-		for _, part := range route.Split {
-			add(part.Service, route.Priority)
+	for name, route := range c.Routes {
+		priorities := []int{route.Priority}
+		for teamName := range c.Teams {
+			if team, ok := c.EffectiveTeam(teamName); ok && team.Priority > 0 && (route.Open || team.Allows(name)) {
+				priorities = append(priorities, team.Priority)
+			}
 		}
-		for _, team := range c.Teams {
-			if team.Priority > 0 {
-				add(route.Service, team.Priority)
+		for _, priority := range priorities {
+			if len(route.Split) == 0 {
+				add(route.Service, priority)
+			}
+			for _, part := range route.Split {
+				add(part.Service, priority)
 			}
 		}
 	}
--- a/host/entry/waiting_line_test.go
+++ b/host/entry/waiting_line_test.go
@@ -354,3 +354,37 @@
 		l.t.Error("a request without ranks has a slot in a line")
 	}
 }
+
+// Guards against ranked requests that don't wait in the order of their ranks, and against lines for services without ranks.
+func TestRankedServices(t *testing.T) {
+	rate := 1.0
+	team := func(priority int, routes ...string) config.Team {
+		return config.Team{Rate: &rate, Burst: &rate, Routes: routes, Priority: priority}
+	}
+	split := config.Route{Split: []config.WeightedService{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}}
+	for _, c := range []struct {
+		name   string
+		routes map[string]config.Route
+		teams  map[string]config.Team
+		ranked []string
+	}{
+		{"one rank", map[string]config.Route{"x": {Service: "a"}, "y": {Service: "a"}}, nil, nil},
+		{"two routes", map[string]config.Route{"x": {Service: "a"}, "y": {Service: "a", Priority: 1}, "z": {Service: "b"}}, nil, []string{"a"}},
+		{"a team", map[string]config.Route{"x": {Service: "a"}}, map[string]config.Team{"t": team(2, config.AllRoutes)}, []string{"a"}},
+		{"a team and a split route", map[string]config.Route{"x": split}, map[string]config.Team{"t": team(2, "x")}, []string{"a", "b"}},
+		{"a team of another route", map[string]config.Route{"x": {Service: "a"}, "y": {Service: "b"}}, map[string]config.Team{"t": team(2, "y")}, []string{"b"}},
+		{"a split and a whole route", map[string]config.Route{"x": split, "y": {Service: "b", Priority: 1}}, nil, []string{"b"}},
+	} {
+		configuration := config.Configuration{Routes: c.routes, Teams: c.teams}.WithIndex()
+		ranked := rankedServices(&configuration)
+		for _, service := range []string{"a", "b", ""} {
+			want := false
+			for _, name := range c.ranked {
+				want = want || name == service
+			}
+			if ranked[service] != want {
+				t.Errorf("%s: service %q is ranked: %v, want %v", c.name, service, ranked[service], want)
+			}
+		}
+	}
+}
