core/dispatch: do not take hosts of unknown size for small ones

Cause: a host whose capacity is not known, for instance one of an earlier version, counted as having none. As soon as two large hosts of a region had the new version, all callers of the region were sent to these two.

Change: a resource that a host does not state is left out of its size.

Result: with two large hosts among seven, the others of unknown size, TestChoose got [a02 a04] before and gets [a00 a01 a02 a03] now.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -36,7 +36,7 @@
 	minLargeShare = 1.0 / 3
 )
 
-// Choose returns the addresses of at most limit hosts for the callers: the large hosts of their region, those of their failure
+// Choose returns the addresses of at most limit hosts for the callers, and sorts hosts by address: the large hosts of their region, those of their failure
 // domain first. If no such hosts stand out, it returns hosts of the failure domain, of the region if the domain has
 // fewer than minDomainHosts, or of all regions if the region has none, in the order of their addresses.
 func Choose(hosts []Host, limit int) []string {
@@ -67,13 +67,14 @@
 	return large
 }
 
-// fraction returns the capacity as a fraction of the largest one, by whichever resource is scarcer.
+// fraction returns the capacity as a fraction of the largest one, by whichever resource is scarcer. A resource that is not known
+// does not count: most hosts may run an earlier version that does not state it, and the others could not take all callers.
 func (c Capacity) fraction(largest Capacity) float64 {
 	fraction := 1.0
-	if largest.Cores > 0 {
+	if c.Cores > 0 {
 		fraction = min(fraction, c.Cores/largest.Cores)
 	}
-	if largest.LinkMbps > 0 {
+	if c.LinkMbps > 0 {
 		fraction = min(fraction, c.LinkMbps/largest.LinkMbps)
 	}
 	return fraction
