host/entry: see the own capacity as the other hosts do

Cause: messages carry cores in hundredths and whole megabits per second, cut off: 0.29 cores arrived as 0.28, 0.2 Mbit/s as unknown. A host near the bound of large hosts took itself for one while the others did not, so that they sent callers to different hosts; a capacity below one unit looked unknown.

Change: capacities are rounded, to at least one unit, and a host uses its own in the form in which the others receive it.

Result: TestHostsAgreeOnCapacity failed in 5 of 6 cases before and passes now.

--- a/host/entry/lookup.go
+++ b/host/entry/lookup.go
@@ -81,9 +81,11 @@
 	return f.serving
 }
 
-// capacity returns the capacity of this host's machine according to the settings.
+// capacity returns the capacity of this host's machine according to the settings, rounded as other hosts receive it, so that all
+// choose the same hosts.
 func (h *Host) capacity() dispatch.Capacity {
-	return dispatch.Capacity{Cores: h.settings.CPUShare * h.settings.Cores, LinkMbps: h.settings.LinkMbps}
+	own := h.settings
+	return encodeCapacity(dispatch.Capacity{Cores: own.CPUShare * own.Cores, LinkMbps: own.LinkMbps}).decode()
 }
 
 // heartbeatPacket returns the heartbeat together with this host's capacity, if the settings state it.
--- a/host/entry/messages.go
+++ b/host/entry/messages.go
@@ -61,10 +61,18 @@
 
 func encodeCapacity(c dispatch.Capacity) HostCapacity {
 	return HostCapacity{
-		Cores: uint16(min(c.Cores*coreScale, math.MaxUint16)), LinkMbps: uint32(min(c.LinkMbps, math.MaxUint32)),
+		Cores: uint16(wholeUnits(c.Cores*coreScale, math.MaxUint16)), LinkMbps: uint32(wholeUnits(c.LinkMbps, math.MaxUint32)),
 	}
 }
 
+// wholeUnits rounds an amount to an integer of at most largest, and at least 1 unless the amount is 0, which stands for unknown.
+func wholeUnits(amount, largest float64) float64 {
+	if amount <= 0 {
+		return 0
+	}
+	return min(max(math.Round(amount), 1), largest)
+}
+
 func (c HostCapacity) decode() dispatch.Capacity {
 	return dispatch.Capacity{Cores: float64(c.Cores) / coreScale, LinkMbps: float64(c.LinkMbps)}
 }
