host/entry: choose the version after the wait for a slot

Cause: the rollout's part for a request was drawn before the wait, so that a request went to the new version although the rollout had been reverted while it waited, and refused requests used up the new version's part.

Change: the version is chosen when the request has a slot.

Result: TestRolloutRevertedDuringTheWait failed ("the old version got 0 requests and the reverted one 1, want 1 and 0") and passes now.

--- a/host/entry/request.go
+++ b/host/entry/request.go
@@ -127,7 +127,6 @@
 	x.service = x.host.trafficSplits.pickService(x.routeName, x.route)
 	x.serviceTimes = x.host.serviceTimes.forRoute(x.routeName, x.service, x.route)
 	x.host.retryBudgets.countRequest(x.service)
-	x.versionFilter = x.host.versionFilter(v, x.service)
 	x.fingerprint = x.computeFingerprint()
 	return x.forward()
 }
@@ -268,6 +267,8 @@
 	if refusal := x.enterLine(x.host.view.Load()); refusal != nil {
 		return refusal
 	}
+	// A rollout may have gone on or back while the request waited.
+	x.versionFilter = x.host.versionFilter(x.host.view.Load(), x.service)
 	for {
 		if (x.idempotent || x.possibleRuns == 0) && callers.Disconnected(x.r.Context()) {
 			return x.fail(callerGone())
--- a/host/entry/waiting_line_paths_test.go
+++ b/host/entry/waiting_line_paths_test.go
@@ -4,10 +4,17 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"vanillatally/core/config"
+	"vanillatally/core/rollout"
+	"vanillatally/io/platform"
 )
 
 // Guards against slots that are not given back: a host that loses them one by one refuses all requests in the end.
@@ -90,3 +97,60 @@
 		})
 	}
 }
+
+// Guards against requests that go to a version that was found bad while they waited for a slot.
+func TestRolloutRevertedDuringTheWait(t *testing.T) {
+	good, bad := newBackend(t, answerOK), newBackend(t, answerOK)
+	h := newTestHost(t, good, bad)
+	next := *h.configuration
+	next.Sequence++
+	read := next.Routes["read"]
+	read.Priority, read.Objective = 1, config.Duration(10*time.Second)
+	read.Timeout = config.Duration(20 * time.Second)
+	next.Routes = map[string]config.Route{"read": read, "write": next.Routes["write"]}
+	next = next.WithIndex()
+	h.SetConfiguration(&next)
+	oldVersion, newVersion := h.listedServer("server-a").BackendServer, h.listedServer("server-b").BackendServer
+	oldVersion.Version, newVersion.Version = "v1", "v2"
+	h.SetServers([]platform.BackendServer{oldVersion, newVersion})
+	setPhase := func(phase rollout.Phase) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.setRollouts([]rollout.ShortRolloutSpec{{
+			Service: "search", TargetVersion: "v2", Within: 12 * time.Second, RecordedPhase: phase,
+		}})
+	}
+	setPhase(rollout.Finished)
+	line := h.waitingLines.forService(h.view.Load(), "search")
+	taken := 0
+	for ; line.limit.Allows(line.inFlight); taken++ {
+		line.reenter()
+	}
+	var group errgroup.Group
+	group.Go(func() error {
+		r := httptest.NewRequest(http.MethodPost, "/read/1", nil)
+		r.Header.Set("Secret", "red-key")
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		if w.Code != http.StatusOK {
+			return errors.Newf("status %d: %s", w.Code, w.Body)
+		}
+		return nil
+	})
+	for waiting := 0; waiting == 0; runtime.Gosched() {
+		line.mu.Lock()
+		waiting = line.line.Len()
+		line.mu.Unlock()
+	}
+	setPhase(rollout.Reverted)
+	for range taken {
+		line.leave(h.now(), nil)
+	}
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+	if good.requests() != 1 || bad.requests() != 0 {
+		t.Errorf("the old version got %d requests and the reverted one %d, want 1 and 0", good.requests(), bad.requests())
+	}
+	checkLineEmpty(t, h)
+}
