host/entry: read the clock of a line under its lock

Cause: core/waiting needs times that do not go back. leave got a time that was read before the lock, so that two requests that ended together could pass it in the wrong order.

Change: the line reads the clock itself, under its lock.

--- a/host/entry/waiting_line.go
+++ b/host/entry/waiting_line.go
@@ -31,6 +31,8 @@
 // waitingLine admits the requests of one service to its backend servers: as many at once as the concurrency limit allows, the
 // others wait in the order of their ranks.
 type waitingLine struct {
+	// now is the host's clock. It is read under mu, since the line needs times that don't go back.
+	now      func() time.Duration
 	mu       sync.Mutex
 	limit    concurrency.Limit
 	inFlight int
@@ -100,7 +102,9 @@
 	if line == nil {
 		// Each failure domain has at least one host that callers are sent to.
 		hosts := len(l.host.settings.Regions)
-		line = &waitingLine{limit: concurrency.New(slots, hosts), line: waiting.New[*waiter](waiting.Limits{})}
+		line = &waitingLine{
+			now: l.host.now, limit: concurrency.New(slots, hosts), line: waiting.New[*waiter](waiting.Limits{}),
+		}
 		l.entries[service] = line
 	}
 	return line
@@ -142,15 +146,16 @@
 func (l *waitingLine) enter(x *exchange, request waiting.Request[*waiter]) *callers.Refusal {
 	w := &waiter{decided: make(chan struct{})}
 	request.Value = w
-	ticket, depth := l.push(x.host.now(), request)
+	ticket, depth := l.push(request)
 	x.awaitSlot(w, request.Work)
 	return l.conclude(x, w, ticket, request.Rank, depth)
 }
 
 // push enqueues the request and starts what the limit allows. It returns the request's ticket and the length of the line.
-func (l *waitingLine) push(now time.Duration, request waiting.Request[*waiter]) (ticket *waiting.Ticket[*waiter], depth int) {
+func (l *waitingLine) push(request waiting.Request[*waiter]) (ticket *waiting.Ticket[*waiter], depth int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := l.now()
 	l.refuse(l.line.Expired(now))
 	ticket, evicted := l.line.Push(now, request)
 	l.refuse(evicted)
@@ -200,7 +205,7 @@
 	if x.r.Context().Err() != nil {
 		return callerGone()
 	}
-	now, random := x.host.now(), x.host.random()
+	now, random := l.now(), x.host.random()
 	after := l.line.RetryAfter(now, rank, l.started.At(now), random)
 	if after > maxRetryAfter {
 		// The bound alone would let all callers return at the same time.
@@ -219,9 +224,10 @@
 
 // leave counts the end of an attempt, updates the limit with the server's report, and starts waiting requests. report is nil if
 // there was none.
-func (l *waitingLine) leave(now time.Duration, report *concurrency.Response) {
+func (l *waitingLine) leave(report *concurrency.Response) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := l.now()
 	if report != nil {
 		l.limit = l.limit.WithResponse(*report, l.inFlight)
 	}
@@ -299,7 +305,7 @@
 		return
 	}
 	x.inLine = false
-	x.line.leave(x.host.now(), x.queueReport(response))
+	x.line.leave(x.queueReport(response))
 }
 
 // queueReport returns what the response says of the queue of its server; nil if it says nothing.
--- a/host/entry/waiting_line_paths_test.go
+++ b/host/entry/waiting_line_paths_test.go
@@ -144,7 +144,7 @@
 	}
 	setPhase(rollout.Reverted)
 	for range taken {
-		line.leave(h.now(), nil)
+		line.leave(nil)
 	}
 	if err := group.Wait(); err != nil {
 		t.Error(err)
