core/dispatch: use large hosts beside a few hosts of unknown size again

Result: TestLookupPrefersLargeHosts passes unchanged. On the original code TestChoose sent all callers to the two hosts that state a size, [a02 a04].

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -36,9 +36,9 @@
 	minLargeShare = 1.0 / 3
 )
 
-// Choose returns the addresses of at most limit hosts for the callers, and sorts hosts by address: the large hosts of their region, those of their failure
+// Choose returns the addresses of at most limit hosts for the callers: the large hosts of their region, those of their failure
 // domain first. If no such hosts stand out, it returns hosts of the failure domain, of the region if the domain has
-// fewer than minDomainHosts, or of all regions if the region has none, in the order of their addresses.
+// fewer than minDomainHosts, or of all regions if the region has none, in the order of their addresses. It sorts hosts in place.
 func Choose(hosts []Host, limit int) []string {
 	slices.SortFunc(hosts, func(a, b Host) int { return cmp.Compare(a.Address, b.Address) })
 	domain := filter(hosts, func(h Host) bool { return h.SameDomain })
@@ -61,20 +61,19 @@
 func largeHosts(hosts []Host) []Host {
 	largest := largestCapacity(hosts)
 	large := filter(hosts, func(h Host) bool { return h.Capacity.fraction(largest) >= largeHostFraction })
-	if len(large) < minLargeHosts || len(large) == len(hosts) || cores(large) < minLargeShare*cores(hosts) {
+	if len(large) < minLargeHosts || len(large) == len(hosts) || cores(large, largest) < minLargeShare*cores(hosts, largest) {
 		return nil
 	}
 	return large
 }
 
-// fraction returns the capacity as a fraction of the largest one, by whichever resource is scarcer. A resource that is not known
-// does not count: most hosts may run an earlier version that does not state it, and the others could not take all callers.
+// fraction returns the capacity as a fraction of the largest one, by whichever resource is scarcer.
 func (c Capacity) fraction(largest Capacity) float64 {
 	fraction := 1.0
-	if c.Cores > 0 {
+	if largest.Cores > 0 {
 		fraction = min(fraction, c.Cores/largest.Cores)
 	}
-	if c.LinkMbps > 0 {
+	if largest.LinkMbps > 0 {
 		fraction = min(fraction, c.LinkMbps/largest.LinkMbps)
 	}
 	return fraction
@@ -87,9 +86,19 @@
 	return largest
 }
 
-func cores(hosts []Host) (sum float64) {
+// cores returns the processor time of the hosts. Those that don't state it count as large as the largest one: most hosts may run
+// an earlier version, and the few that state a capacity could not take all callers.
+func cores(hosts []Host, largest Capacity) (sum float64) {
+	assumed := largest.Cores
+	if assumed == 0 {
+		assumed = 1
+	}
 	for _, h := range hosts {
-		sum += h.Capacity.Cores
+		if h.Capacity.Cores > 0 {
+			sum += h.Capacity.Cores
+		} else {
+			sum += assumed
+		}
 	}
 	return sum
 }
