host/entry: look up the teams with a priority once for each configuration

Cause: rankedServices looked up every team for every route while it holds the host's lock.

Change: the teams with a priority are collected first.

Result: the tests of the line pass unchanged; not measured.

--- a/host/entry/waiting_line.go
+++ b/host/entry/waiting_line.go
@@ -59,10 +59,16 @@
 		}
 		ranks[service][rank] = true
 	}
+	var prioritized []*config.EffectiveTeam
+	for name := range c.Teams {
+		if team, ok := c.EffectiveTeam(name); ok && team.Priority > 0 {
+			prioritized = append(prioritized, team)
+		}
+	}
 	for name, route := range c.Routes {
 		priorities := []int{route.Priority}
-		for teamName := range c.Teams {
-			if team, ok := c.EffectiveTeam(teamName); ok && team.Priority > 0 && (route.Open || team.Allows(name)) {
+		for _, team := range prioritized {
+			if route.Open || team.Allows(name) {
 				priorities = append(priorities, team.Priority)
 			}
 		}
