Let the limit follow servers that report no load

Cause: without load reports, the concurrency limit of a ranked service stayed at its start for ever (found by the review).

Change: a response without a report counts as one without a queue, and a rejection without one as full.

Result: TestResponsesWithoutLoadReportChangeTheLimit failed before (nil).

--- a/host/entry/waiting_line.go
+++ b/host/entry/waiting_line.go
@@ -319,11 +319,12 @@
 	if response == nil || response.Status == http.StatusMisdirectedRequest {
 		return nil
 	}
+	rejected := response.Header.Get(x.host.headerNames.NotRun) != ""
 	report, invalid := parseLoadReport(response.Header.Get(x.host.headerNames.ServerLoad))
 	if invalid == invalidReport {
-		return nil
+		// Servers that report no load show by their rejections whether they have room.
+		return &concurrency.Response{Full: rejected}
 	}
-	rejected := response.Header.Get(x.host.headerNames.NotRun) != ""
 	warm, _, mean := x.serviceTimes.estimates()
 	return &concurrency.Response{
 		Wait:    queueTime(mean, report),
--- a/host/entry/waiting_line_test.go
+++ b/host/entry/waiting_line_test.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"vanillatally/core/concurrency"
 	"vanillatally/core/config"
 	"vanillatally/io/backends"
 	"vanillatally/io/callers"
@@ -388,3 +389,21 @@
 		}
 	}
 }
+
+// Guards against a limit that stays at its start for ever because the servers of the service report no load.
+func TestResponsesWithoutLoadReportChangeTheLimit(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		header http.Header
+		want   concurrency.Response
+	}{
+		{"answer", http.Header{}, concurrency.Response{}},
+		{"rejection", http.Header{"Not-Run": {"1"}}, concurrency.Response{Full: true}},
+		{"answer with a malformed report", http.Header{"Load": {"x"}}, concurrency.Response{}},
+	} {
+		x := &exchange{host: newTestHost(t)}
+		if got := x.queueReport(&backends.Response{Status: http.StatusOK, Header: c.header}); got == nil || *got != c.want {
+			t.Errorf("%s: %+v, want %+v", c.name, got, c.want)
+		}
+	}
+}
