core/memory: count evicted responses that are still held as room to come

Cause: Charge ignored bytes of responses that were evicted and not released yet, so that each further response cut off another caller that had not read for a second. Change: Charge subtracts them from the excess, as evictFor does; both use evictedBytes. Result: TestResponsesWaitForEvictedOnes failed before ("evicted [2] before the first one was released").

--- a/core/memory/budget.go
+++ b/core/memory/budget.go
@@ -171,6 +171,7 @@
 	if excess <= 0 {
 		return Change{}
 	}
+	excess -= b.evictedBytes(h.part)
 	idle := b.sorted(h.part, func(o *holder) bool { return o.id != id }, func(a, o *holder) bool { return a.progress < o.progress })
 	var change Change
 	for _, o := range idle {
@@ -276,13 +277,7 @@
 // wait as well. Without the latter, bodies that each hold some bytes could all wait for each other.
 func (b *Budget) evictFor(now time.Duration, part Part) (evicted []ID) {
 	oldest := b.holders[b.waiting[part][0]]
-	// Those that were evicted earlier give their bytes back soon.
-	coming := int64(0)
-	for _, h := range b.holders {
-		if h.part == part && h.evicted {
-			coming += h.bytes
-		}
-	}
+	coming := b.evictedBytes(part)
 	candidates := b.sorted(part, func(h *holder) bool {
 		return h != oldest && !h.complete && h.bytes > 0 && (h.wanted > 0 || now-h.progress >= b.limits.StallAfter)
 	}, func(a, o *holder) bool {
@@ -309,6 +304,16 @@
 	return evicted
 }
 
+// evictedBytes returns the bytes that evicted holders of a part have not given back yet.
+func (b *Budget) evictedBytes(part Part) (bytes int64) {
+	for _, h := range b.holders {
+		if h.part == part && h.evicted {
+			bytes += h.bytes
+		}
+	}
+	return bytes
+}
+
 // sorted returns the holders of a part that were not evicted and that match, in the given order.
 func (b *Budget) sorted(part Part, matches func(*holder) bool, before func(a, b *holder) bool) (found []*holder) {
 	for _, h := range b.holders {
--- a/core/memory/budget_test.go
+++ b/core/memory/budget_test.go
@@ -284,3 +284,22 @@
 		})
 	})
 }
+
+// Guards against a response that is cut off although responses cut off just before already make enough room.
+func TestResponsesWaitForEvictedOnes(t *testing.T) {
+	b := New(testLimits())
+	var ids []ID
+	for range 8 {
+		id := b.Open(0, Responses)
+		b.Charge(0, id, SmallBody)
+		ids = append(ids, id)
+	}
+	next := b.Open(time.Second, Responses)
+	if change := b.Charge(time.Second, next, SmallBody); !slices.Equal(change.Evicted, ids[:1]) {
+		t.Fatalf("evicted %v, want the first one", change.Evicted)
+	}
+	b.Shrink(next, 0)
+	if change := b.Charge(time.Second, next, SmallBody); len(change.Evicted) > 0 {
+		t.Errorf("evicted %v before the first one was released", change.Evicted)
+	}
+}
