Describe constants of memory, pace and restore without figures of one deployment

Cause: comments justified constants by measured or deployment figures, which do not hold elsewhere. Change: they give the reason in general terms. Result: comments only; tests of core/memory and core/pace pass.

--- a/core/memory/limits.go
+++ b/core/memory/limits.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// baseBytes is what a host needs beside bodies and connections: 18 MB after its start and its share of Go's overhead.
+	// baseBytes is reserved for what a host needs beside bodies and connections: code, configuration, and the Go runtime.
 	baseBytes = 32e6
 	// heapNumerator and heapDenominator are the share of the memory that Go's soft limit allows the heap.
 	heapNumerator, heapDenominator = 3, 4
@@ -11,7 +11,7 @@
 	largeNumerator, largeDenominator = 3, 8
 	smallDenominator                 = 32
 	responseDenominator              = 16
-	// stallAfter is long enough for a caller that shares a slow link with hundreds of others to send SmallBody bytes.
+	// stallAfter leaves callers on slow links the time to send SmallBody bytes.
 	stallAfter = time.Second
 	// ConnectionBytes is what an idle connection of a caller takes, with its goroutine and buffers.
 	ConnectionBytes       = 24 << 10
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -16,8 +16,7 @@
 	// minPercent and maxPercent bound the figures that are believed.
 	minPercent = 10
 	maxPercent = 10_000
-	// halfLifeMS is the time in milliseconds in which half of the slow servers are normal again. Servers are slow for 600 ms; at
-	// a random time within them, 300 ms are left on average.
+	// halfLifeMS is the time in milliseconds in which half of the slow servers are normal again.
 	halfLifeMS = 250
 	// timeConstant is the mean time in nanoseconds for which a server keeps the reported pace.
 	timeConstant = halfLifeMS * float64(time.Millisecond) / math.Ln2
--- a/host/entry/restore.go
+++ b/host/entry/restore.go
@@ -15,8 +15,8 @@
 	// restoreHold is the time for which restrictions in force are kept although the restored copy of the store lacks them.
 	// Operators and backend servers write again within this time.
 	restoreHold = 6 * time.Second
-	// removalTTL is the time for which removed servers and rollouts are remembered. A copy of the store may be 10 s old, and the
-	// store may be unavailable before the restore.
+	// removalTTL is the time for which removed servers and rollouts are remembered. It covers the age of a copy of the store and an
+	// outage before the restore.
 	removalTTL = 30 * time.Second
 	// maxRemovals bounds the removed servers that are remembered, and the removed rollouts.
 	maxRemovals = 8192
