host/entry: apply only recent removals after a restore

Cause: removals older than removalTTL were forgotten only when another one was added, so that a rollout removed long before a restore went on where it had ended, and removed servers stayed in the list of gone ones. Change: StoreRestored forgets them first. Result: TestOldRemovalsAreForgotten failed before and passes.

--- a/host/entry/restore.go
+++ b/host/entry/restore.go
@@ -91,14 +91,19 @@
 		r.entries = map[string]removal[T]{}
 	}
 	if now-r.prunedAt > removalTTL {
-		maps.DeleteFunc(r.entries, func(_ string, old removal[T]) bool { return now-old.at > removalTTL })
-		r.prunedAt = now
+		r.forget(now)
 	}
 	if len(r.entries) < maxRemovals {
 		r.entries[name] = removal[T]{what, now}
 	}
 }
 
+// forget drops the entries older than removalTTL.
+func (r *removals[T]) forget(now time.Duration) {
+	maps.DeleteFunc(r.entries, func(_ string, old removal[T]) bool { return now-old.at > removalTTL })
+	r.prunedAt = now
+}
+
 // replaceServer updates the removed servers when a process of a server is added; known is the one before or nil.
 func (r *storeRestore) replaceServer(now time.Duration, known *server, added platform.BackendServer) {
 	if known != nil {
@@ -128,6 +133,8 @@
 	if r.gone == nil {
 		r.gone = map[string]serverProcess{}
 	}
+	r.removedServers.forget(now)
+	r.removedRollouts.forget(now)
 	for id, removed := range r.removedServers.entries {
 		r.gone[id] = removed.what
 	}
--- a/host/entry/restore_test.go
+++ b/host/entry/restore_test.go
@@ -294,3 +294,19 @@
 		t.Errorf("%d removals are remembered after removalTTL, want 1", got)
 	}
 }
+
+// Guards against a removal of long ago that a restore brings back into force, because no other removal followed it.
+func TestOldRemovalsAreForgotten(t *testing.T) {
+	h := newRestoreHost(t, nil)
+	old := h.now() - 2*removalTTL
+	h.restore.removedServers.add(old, "c", processOf(restoredServer("c", 1)))
+	h.restore.removedRollouts.add(old, "search", &runningRollout{})
+	h.restore.removedServers.add(h.now()-removalTTL/2, "d", processOf(restoredServer("d", 1)))
+	h.StoreRestored(1)
+	if gone := h.restore.gone; len(gone) != 1 || gone["d"] == (serverProcess{}) {
+		t.Errorf("gone servers %v, want the one that was removed recently", gone)
+	}
+	if rollouts := h.restore.removedRollouts.entries; len(rollouts) != 0 {
+		t.Errorf("removed rollouts %v, want none", rollouts)
+	}
+}
