io/callers: evict neither arrived requests nor heads that have just begun

Cause: (1) An eviction that had seen an idle connection set its read deadline after the request had arrived whole, which cancelled the request while it was served. (2) When that happened, a new connection was refused although others were idle. (3) The oldest head was chosen by the time since which its connection had been idle, so that endless heads of others cost long-idle callers their connection. Change: evictions and arrivals of requests take the connection's lock; the next victim is tried if one has become busy; heads are compared by the time at which they exceeded 4 KiB. Result: TestEvictionSparesArrivedRequest ("the request is served with the read deadline 1970-01-01") and TestLongHeadAfterIdleTimeIsNotTheOldest failed before; the package passes three times under the race detector.

--- a/io/callers/connections.go
+++ b/io/callers/connections.go
@@ -62,21 +62,23 @@
 
 // evictWaiting closes the connection that has waited longest for a request, and removes it. The caller holds t.mu.
 func (t *connectionTable) evictWaiting() bool {
-	var victim *pipeliningConn
-	for c := range t.open {
-		if c.phase.Load() == phaseServing {
-			continue
+	for {
+		var victim *pipeliningConn
+		for c := range t.open {
+			if c.phase.Load() != phaseServing && (victim == nil || c.waitsBefore(victim)) {
+				victim = c
+			}
 		}
-		if victim == nil || c.waitsBefore(victim) {
-			victim = c
+		if victim == nil {
+			return false
+		}
+		// It fails if a request has arrived meanwhile; the next one is tried then.
+		if victim.evict() {
+			delete(t.open, victim)
+			t.onClosed("connections")
+			return true
 		}
 	}
-	if victim == nil || !victim.evict() {
-		return false
-	}
-	delete(t.open, victim)
-	t.onClosed("connections")
-	return true
 }
 
 // addHeadBytes counts n bytes of a head, or evicts a connection for them. It reports whether c itself may continue.
@@ -90,7 +92,7 @@
 	victim := c
 	for other := range t.open {
 		if other.phase.Load() != phaseServing && !other.evicted.Load() && other.countedBytes.Load() > 0 &&
-			other.since.Load() < victim.since.Load() {
+			other.longSince.Load() < victim.longSince.Load() {
 			victim = other
 		}
 	}
@@ -155,6 +157,8 @@
 	// headBytes counts the bytes that were read since the connection last waited for a request; countedBytes is the part of
 	// them, and of the pipelined bytes, that counts against the table's limit.
 	headBytes, countedBytes atomic.Int64
+	// longSince is the time in Unix nanoseconds at which headBytes exceeded freeHeadBytes.
+	longSince atomic.Int64
 	// evicted is set when the connection is to be closed while it waits for a request.
 	evicted atomic.Bool
 	// writingSince is the time in Unix nanoseconds at which the current write began, or 0.
@@ -174,6 +178,9 @@
 func (c *pipeliningConn) setPhase(state http.ConnState) {
 	switch state {
 	case http.StateActive:
+		// The lock keeps an eviction from setting its deadline after this.
+		c.mu.Lock()
+		defer c.mu.Unlock()
 		c.phase.Store(phaseServing)
 		if c.evicted.Load() {
 			// The request arrived whole while the connection was being evicted. It is served, and the connection closed after it.
@@ -189,6 +196,8 @@
 
 // evict makes a connection that waits for a request close. It reports whether it waits.
 func (c *pipeliningConn) evict() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.phase.Load() == phaseServing {
 		return false
 	}
@@ -208,6 +217,9 @@
 	}
 	total := c.headBytes.Add(int64(n))
 	if excess := min(total-freeHeadBytes, int64(n)); excess > 0 {
+		if total-int64(n) <= freeHeadBytes {
+			c.longSince.Store(time.Now().UnixNano())
+		}
 		c.countedBytes.Add(excess)
 		return c.table.addHeadBytes(c, excess)
 	}
--- a/io/callers/connections_test.go
+++ b/io/callers/connections_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
 )
 
 // startLimited starts a server with limits. Requests below /wait/ are served until release is closed; those below /long write
@@ -198,3 +199,64 @@
 	}
 	stopAndCheck(t, s, conn)
 }
+
+// eventConn is a connection that calls onDeadline before a read deadline takes effect.
+type eventConn struct {
+	net.Conn
+	onDeadline func()
+	deadline   time.Time
+}
+
+func (c *eventConn) SetReadDeadline(at time.Time) error {
+	if call := c.onDeadline; call != nil {
+		c.onDeadline = nil
+		call()
+	}
+	c.deadline = at
+	return nil
+}
+
+// Guards against a request that is cut off because it arrived whole while its idle connection was being evicted.
+func TestEvictionSparesArrivedRequest(t *testing.T) {
+	conn := &eventConn{}
+	c := &pipeliningConn{Conn: conn, connectionState: connectionState{table: newConnectionTable(Options{})}}
+	c.setPhase(http.StateIdle)
+	var group errgroup.Group
+	arrive := func() error {
+		c.setPhase(http.StateActive)
+		return nil
+	}
+	conn.onDeadline = func() {
+		if !c.mu.TryLock() {
+			// The request has to wait for the eviction.
+			group.Go(arrive)
+			return
+		}
+		c.mu.Unlock()
+		_ = arrive()
+	}
+	c.evict()
+	_ = group.Wait()
+	if !conn.deadline.IsZero() {
+		t.Errorf("the request is served with the read deadline %v", conn.deadline)
+	}
+}
+
+// Guards against a caller that loses a connection, which it has kept idle for long, to heads that other callers never end.
+func TestLongHeadAfterIdleTimeIsNotTheOldest(t *testing.T) {
+	table := newConnectionTable(Options{MaxHeadBytes: 20 << 10, OnClosed: func(string) {}})
+	var conns []*pipeliningConn
+	for i := range 2 {
+		c := &pipeliningConn{Conn: &eventConn{}, connectionState: connectionState{table: table}}
+		c.since.Store(int64(i + 1))
+		table.add(c)
+		conns = append(conns, c)
+	}
+	idle, endless := conns[0], conns[1]
+	if !endless.countHead(20 << 10) {
+		t.Fatal("a head below the limit was cut off")
+	}
+	if !idle.countHead(10 << 10) || idle.evicted.Load() || !endless.evicted.Load() {
+		t.Errorf("evicted: idle connection %v, endless head %v; want the endless head", idle.evicted.Load(), endless.evicted.Load())
+	}
+}
--- a/io/callers/pipelining.go
+++ b/io/callers/pipelining.go
@@ -53,6 +53,7 @@
 type pipeliningConn struct {
 	net.Conn
 	connectionState
+	// mu guards the fields below, and serializes an eviction with the arrival of a request.
 	mu sync.Mutex
 	// buffered holds bytes of pipelined requests: at most maxPipelinedBytes plus one read of pipelinedReadBytes.
 	buffered []byte
