--- a/io/callers/connections_test.go
+++ b/io/callers/connections_test.go
@@ -256,7 +256,7 @@
 	if !endless.countHead(20 << 10) {
 		t.Fatal("a head below the limit was cut off")
 	}
-	if !idle.countHead(10 << 10) || idle.evicted.Load() || !endless.evicted.Load() {
+	if !idle.countHead(10<<10) || idle.evicted.Load() || !endless.evicted.Load() {
 		t.Errorf("evicted: idle connection %v, endless head %v; want the endless head", idle.evicted.Load(), endless.evicted.Load())
 	}
 }
