host/entry: keep a chunked body of 64 KiB in the part for small ones

Cause: a body without a stated length was moved to the part for large bodies when it reached 64 KiB, before it was known whether it goes on. When large bodies filled their part, a body of exactly 64 KiB waited for 2 s and was refused. Change: receiveBody looks one byte ahead at that point. Requests without a body, or with a stated length, are not affected.

--- a/host/entry/body_memory.go
+++ b/host/entry/body_memory.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bufio"
 	"io"
 	"net/http"
 	"strconv"
@@ -26,6 +27,8 @@
 	streamBytes = callers.StreamChunkBytes + 16<<10
 	// bodyChunkBytes is the unit in which bodies take bytes.
 	bodyChunkBytes = memory.SmallBody
+	// lookaheadBytes is the buffer that shows whether a body of unknown length goes on; longer reads bypass it.
+	lookaheadBytes = 16
 )
 
 // errEvicted ends a response whose bytes are needed for others.
@@ -300,6 +303,11 @@
 // it.
 func (x *exchange) receiveBody(body io.Reader, length int64) error {
 	x.reserveBody(length)
+	var lookahead *bufio.Reader
+	if length < 0 {
+		lookahead = bufio.NewReaderSize(body, lookaheadBytes)
+		body = lookahead
+	}
 	for {
 		n := int64(bodyChunkBytes)
 		if length >= 0 {
@@ -309,6 +317,9 @@
 			break
 		}
 		if x.body.length == bodyChunkBytes && length < 0 {
+			if _, err := lookahead.Peek(1); errors.Is(err, io.EOF) {
+				break
+			}
 			x.bodyReservation.moveToLarge()
 		}
 		if !x.bodyReservation.take(n, x.deadline, x.r.Context().Done()) {
--- a/host/entry/body_memory_test.go
+++ b/host/entry/body_memory_test.go
@@ -185,6 +185,21 @@
 	}
 }
 
+// Guards against a small body without a stated length, whose end is known only after its last byte, that large ones keep out.
+func TestSmallBodyOfUnknownLengthStaysSmall(t *testing.T) {
+	h := newTestHost(t, newBackend(t, answerOK))
+	h.bodyMemory = newBodyMemory(h, limitedTo(1, time.Hour))
+	large := h.bodyMemory.open(memory.Large, func() {})
+	if large.tryTake(bodyChunkBytes) != memory.Granted || !large.complete(0) {
+		t.Fatal("the part for large bodies has no room")
+	}
+	if got := serveBody(t.Context(), h, "/write/1", &bodySource{pieces: piecesOf(1)}, -1).Code; got != http.StatusOK {
+		t.Errorf("status %d", got)
+	}
+	large.release()
+	h.bodyMemory.expectEmpty(t)
+}
+
 // Guards against a body that a server gets otherwise than the caller sent it, also in a retry, and against a fingerprint that
 // other hosts do not know.
 func TestBodyReachesServersUnchanged(t *testing.T) {
