--- a/core/placement/weighted.go
+++ b/core/placement/weighted.go
@@ -28,7 +28,7 @@
 		}
 		return first{index, rendezvousWeight, slots, score(rendezvousWeight, slots)}
 	}
-	// Since -ln(u) is at least 1-u, slots/(1-u) is an upper bound of the score. It spares most servers the logarithm.
+	// Since -ln(u) is at least 1-u, slots/(1-u) is an upper bound of the score, with which most servers need no logarithm.
 	if f.index >= 0 && float64(slots) < f.score*distanceFromTop(rendezvousWeight) {
 		return f
 	}
