host/entry: run the three longest fleet tests in parallel

Cause: the tests of the package took 67 to 88 s under the race detector, of which three tests of simulated fleets, each in its own synctest bubble with its own clock, took 40 s one after the other. Change: these and their cases run in parallel. What they check is unchanged.

--- a/host/entry/crash_evidence_test.go
+++ b/host/entry/crash_evidence_test.go
@@ -155,8 +155,10 @@
 // Guards against a request that crashes servers through one host after the other: hosts in other failure domains that learn of
 // the crashes too late, hosts that were cut off meanwhile, and hosts that were restarted.
 func TestFleetLearnsOfQuarantinedRequest(t *testing.T) {
+	t.Parallel()
 	for _, hosts := range []int{9, 45, 135} {
 		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := newTestFleet(t, hosts, 0)
 				defer f.stop()
--- a/host/entry/domains_test.go
+++ b/host/entry/domains_test.go
@@ -228,12 +228,14 @@
 // Guards against traffic that grows with the square of the fleet, demand of teams that is dropped or counted twice, and a
 // failure domain that is lost to the others when its delegate dies.
 func TestFleetKnowsHostsAndDemandOfAllDomains(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		hosts, teams int
 		// maxBytes bounds the bytes that a host sends to other failure domains in a second.
 		maxBytes float64
 	}{{9, 8, 4096}, {45, 75, 4096}, {135, 100, 2048}} {
 		t.Run(fmt.Sprint(c.hosts, " hosts"), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				const rate, duration = 4, 6 * time.Second
 				f := newTestFleet(t, c.hosts, c.teams)
--- a/host/entry/limited_server_test.go
+++ b/host/entry/limited_server_test.go
@@ -217,6 +217,7 @@
 
 // Guards against hosts that together send a server more requests than the limit that it states.
 func TestHostsTogetherKeepToStatedLimit(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name  string
 		hosts int
@@ -285,6 +286,7 @@
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			servers := []*limitedServer{newLimitedServer(t), newLimitedServer(t), newLimitedServer(t)}
 			synctest.Test(t, func(t *testing.T) {
 				f := newLimitFleet(t, c.hosts, servers)
