core/placement: run the cases of the tests of weighted hashing in parallel

Cause: TestChangesMoveFewObjects and TestSharesFollowSizes took 27 s and 5 s under the race detector, one after the other. Change: their cases, which share only read-only data, run in parallel. What they check is unchanged.

--- a/core/placement/weighted_test.go
+++ b/core/placement/weighted_test.go
@@ -72,6 +72,7 @@
 // The objects of a service must be shared by the servers' sizes, or large servers have free slots while objects wait at small
 // ones.
 func TestSharesFollowSizes(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		servers, objects int
 		// perServer is set if each server has enough objects for its own share to be compared.
@@ -114,45 +115,49 @@
 
 // A change of the servers must move only the objects that have to move, since an object that moves runs cold.
 func TestChangesMoveFewObjects(t *testing.T) {
+	t.Parallel()
 	// With fewer objects to move, the bound would be within three standard deviations of their number.
 	const minCompared = 900
 	for _, c := range []struct{ servers, objects int }{{16, 100_000}, {180, 135_000}, {4500, 10_000}} {
 		all := newSizedServers(0, c.servers)
 		homesOf := assign(all, c.objects)
 		for _, percent := range []int{1, 10} {
-			n := (c.servers*percent + 99) / 100
-			check := func(change string, before []uint64, steps ...[]sizedServer) []uint64 {
-				after, least, moved := assign(steps[len(steps)-1], c.objects), 0.0, 0
-				for i := range steps[1:] {
-					least += minMoved(steps[i], steps[i+1]) * float64(c.objects)
-				}
-				old, changed := slotsOf(steps[0]), slotsOf(steps[len(steps)-1])
-				for object := range before {
-					if before[object] != after[object] {
-						moved++
+			t.Run(strconv.Itoa(c.servers)+" servers, "+strconv.Itoa(percent)+"%", func(t *testing.T) {
+				t.Parallel()
+				n := (c.servers*percent + 99) / 100
+				check := func(change string, before []uint64, steps ...[]sizedServer) []uint64 {
+					after, least, moved := assign(steps[len(steps)-1], c.objects), 0.0, 0
+					for i := range steps[1:] {
+						least += minMoved(steps[i], steps[i+1]) * float64(c.objects)
+					}
+					old, changed := slotsOf(steps[0]), slotsOf(steps[len(steps)-1])
+					for object := range before {
+						if before[object] != after[object] {
+							moved++
+						}
+						if isNeedless(before[object], after[object], old, changed) {
+							t.Fatalf("%d servers, %d %s: object %d moved without need", c.servers, n, change, object)
+						}
 					}
-					if isNeedless(before[object], after[object], old, changed) {
-						t.Fatalf("%d servers, %d %s: object %d moved without need", c.servers, n, change, object)
+					if least >= minCompared && float64(moved) > 1.1*least {
+						t.Errorf("%d servers, %d %s: %d objects moved, at least %.0f had to", c.servers, n, change, moved, least)
 					}
+					return after
 				}
-				if least >= minCompared && float64(moved) > 1.1*least {
-					t.Errorf("%d servers, %d %s: %d objects moved, at least %.0f had to", c.servers, n, change, moved, least)
+				added := newSizedServers(c.servers, n)
+				check("added", homesOf, all, slices.Concat(all, added))
+				without := check("removed", homesOf, all, all[n:])
+				if c.servers == 4500 {
+					// The other changes consist of these two, and would take too long under the race detector.
+					return
 				}
-				return after
-			}
-			added := newSizedServers(c.servers, n)
-			check("added", homesOf, all, slices.Concat(all, added))
-			without := check("removed", homesOf, all, all[n:])
-			if c.servers == 4500 {
-				// The other changes consist of these two, and would take too long under the race detector.
-				continue
-			}
-			check("enlarged", homesOf, all, resized(all, n))
-			// A replacement is a removal and an addition: an assignment without a memory can't tell it from the two.
-			check("replaced", homesOf, all, all[n:], slices.Concat(all[n:], added))
-			if !slices.Equal(check("back again", without, all[n:], slices.Concat(all[n:], all[:n])), homesOf) {
-				t.Errorf("%d servers, %d flapping: some objects aren't back at their home", c.servers, n)
-			}
+				check("enlarged", homesOf, all, resized(all, n))
+				// A replacement is a removal and an addition: an assignment without a memory can't tell it from the two.
+				check("replaced", homesOf, all, all[n:], slices.Concat(all[n:], added))
+				if !slices.Equal(check("back again", without, all[n:], slices.Concat(all[n:], all[:n])), homesOf) {
+					t.Errorf("%d servers, %d flapping: some objects aren't back at their home", c.servers, n)
+				}
+			})
 		}
 	}
 }
@@ -180,6 +185,7 @@
 // Hosts whose lists of servers differ for a moment must agree on every object whose home is in both lists. Otherwise two
 // servers run the object cold.
 func TestHostsWithDifferentListsAgree(t *testing.T) {
+	t.Parallel()
 	const objects = 2000
 	random := rand.New(rand.NewPCG(3, 4))
 	for _, count := range []int{16, 180, 4500} {
