--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -1,6 +1,6 @@
 // Package pace estimates how long work takes on a backend server's machine at present, from the figure that the server reports.
 //
-// Machines slow down and recover within some hundred milliseconds, and a host hears of a server only with the responses that it
+// Machines slow down and recover within some hundred milliseconds, and a host gets a report only with the responses that it
 // gets from it. A report therefore loses weight with its age, and work that runs longer than a slow period is expected to run
 // only a part of its time at the reported pace.
 package pace
@@ -13,7 +13,7 @@
 const (
 	// NormalPercent is the figure of a server on which work takes as long as usual.
 	NormalPercent = 100
-	// minPercent and maxPercent bound the figures that are believed.
+	// minPercent and maxPercent bound the figures that are accepted.
 	minPercent = 10
 	maxPercent = 10_000
 	// halfLifeMS is the time in milliseconds in which half of the slow servers are normal again.
@@ -32,7 +32,7 @@
 	reportedAt time.Duration
 }
 
-// Valid reports whether the figure is within the bounds in which it is believed.
+// Valid reports whether the figure is within the bounds in which it is accepted.
 func Valid(percent int) bool { return minPercent <= percent && percent <= maxPercent }
 
 // WithReport returns the pace after a report, or p if the figure isn't valid.
@@ -55,7 +55,7 @@
 
 // Over returns the expected factor by which work takes longer that starts now and would usually take the given time. It is at
 // most At(now), since a slow server may recover before the work ends, and at least 1: a server that reports a short time is
-// not preferred to the others, because all hosts that hear of it would send their requests to it at once.
+// not preferred to the others, because all hosts that get the report would send their requests to it at once.
 func (p Pace) Over(now, work time.Duration) float64 {
 	weight := p.weight(now)
 	if p.percent <= NormalPercent || weight < minWeight {
--- a/core/waiting/failure_test.go
+++ b/core/waiting/failure_test.go
@@ -33,7 +33,7 @@
 	return last
 }
 
-// fakeHost is a host with its line, and with what its callers and servers tell it.
+// fakeHost is a host with its line and the messages of its callers and servers.
 type fakeHost struct {
 	line *Line[int]
 	busy int
@@ -89,7 +89,7 @@
 			if h.incarnation != incarnation || f.random.Float64() < lostShare {
 				return
 			}
-			// The host may hear of it after the request has left the line, and more than once.
+			// The host may get the message after the request has left the line, and more than once.
 			before := h.line.Len()
 			h.line.Remove(ticket)
 			h.line.Remove(ticket)
@@ -127,7 +127,7 @@
 		h.busy++
 		held := c.work
 		if f.random.Float64() < lostShare {
-			// The host never hears of the end and frees the slot at the deadline.
+			// The host never gets the end and frees the slot at the deadline.
 			held = c.request.Deadline - f.now
 		}
 		f.after(max(held, c.work), func() {
@@ -158,7 +158,7 @@
 }
 
 // Guards against requests that run twice, are lost or keep their place when hosts die with their lines, callers leave, and the
-// ends of requests and connections are not heard of; and against ranks or teams that starve on the remaining hosts.
+// messages about the ends of requests and connections are lost; and against ranks or teams that starve on the remaining hosts.
 func TestHostsDieAndMessagesAreLost(t *testing.T) {
 	const hosts = 20
 	f := &fleet{t: t, random: rand.New(rand.NewPCG(7, 5))}
--- a/host/entry/pace_test.go
+++ b/host/entry/pace_test.go
@@ -128,7 +128,7 @@
 	}
 }
 
-// When all hosts hear at the same time that one server is fast, they must not send all their requests to it, whether they know
+// When all hosts learn at the same time that one server is fast, they must not send all their requests to it, whether they know
 // the other servers' reports or not. If they know them, all servers report that they are idle, so that only the pace differs.
 func TestFastReportAttractsNoHerd(t *testing.T) {
 	const hosts, servers, fast, at, requests = 68, 180, 7, 4 * time.Second, 10 * 180
--- a/host/entry/response_status_test.go
+++ b/host/entry/response_status_test.go
@@ -17,7 +17,7 @@
 const statusRest = "\r\nID\r\nProof: yes\r\nContent-Length: 5\r\n\r\nwhole"
 
 // Guards against a malformed status that makes the handler panic, so that the caller's connection breaks without a response, or
-// that reaches the caller, or that is believed when it says that the request was not run.
+// that reaches the caller, or that is accepted as proof that the request was not run.
 func TestMalformedStatusIsRefused(t *testing.T) {
 	for name, response := range map[string]string{
 		"000": "HTTP/1.1 000 Text" + statusRest, "001": "HTTP/1.1 001 Text" + statusRest, "099": "HTTP/1.1 099 Text" + statusRest,
