--- a/review/standin-2/host.go
+++ b/review/standin-2/host.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -35,6 +36,29 @@
 	starts             int
 }
 
+// started holds all processes of hosts that the case has started.
+var started processes
+
+type processes struct {
+	mu  sync.Mutex
+	all []*os.Process
+}
+
+func (p *processes) add(process *os.Process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.all = append(p.all, process)
+}
+
+// killAll ends the processes. The lock is kept, so that no further one is started.
+func (p *processes) killAll() {
+	p.mu.Lock()
+	for _, process := range p.all {
+		// An error means that the process has ended.
+		_ = process.Kill()
+	}
+}
+
 // zones are the zones of the deployment with their regions.
 var zones = map[string]string{"sj-a": "cr-central", "sj-b": "cr-central", "lib-a": "cr-pacifico"}
 
@@ -139,6 +163,7 @@
 	if err := h.command.Start(); err != nil {
 		return err
 	}
+	started.add(h.command.Process)
 	exited := make(chan struct{})
 	command := h.command
 	h.exited = exited
--- a/review/standin-2/latebeat.go
+++ b/review/standin-2/latebeat.go
@@ -118,22 +118,24 @@
 	e.write("the first answer with Server-Leaving reached a client %.3f s after the acknowledgement", told.Sub(acknowledged).Seconds())
 	afterAcknowledgement, afterNotice, lost := 0, 0, 0
 	for _, r := range leaving.executions() {
-		if r.at.Sub(acknowledged) > drainTime {
+		got := byAttempt[r.attempt]
+		late, lateAfterNotice := r.at.Sub(acknowledged) > drainTime, got.sent.Sub(told) > drainTime
+		if late {
 			afterAcknowledgement++
 		}
-		if got := byAttempt[r.attempt]; got.sent.Sub(told) > drainTime {
+		if lateAfterNotice {
 			afterNotice++
-			if got.status != http.StatusOK {
-				lost++
-			}
+		}
+		if (late || lateAfterNotice) && got.status != http.StatusOK {
+			lost++
 		}
 	}
 	e.write("%d requests reached %s later than DrainMs after the acknowledgement", afterAcknowledgement, leaving.id)
-	e.write("%d requests, sent later than DrainMs after the answer with Server-Leaving, reached %s; %d of them failed", afterNotice,
-		leaving.id, lost)
-	if afterNotice > 0 {
-		return verdict(fmt.Sprintf("%d requests, sent more than %v after an answer with Server-Leaving, reached the instance; %d were lost",
-			afterNotice, drainTime, lost)), nil
+	e.write("%d requests, sent later than DrainMs after the answer with Server-Leaving, reached %s", afterNotice, leaving.id)
+	e.write("%d of these requests failed", lost)
+	if afterAcknowledgement+afterNotice > 0 {
+		return verdict(fmt.Sprintf("more than %v after its draining was acknowledged %d requests reached the instance, %d of them sent as long "+
+			"after an answer with Server-Leaving; %d were lost", drainTime, afterAcknowledgement, afterNotice, lost)), nil
 	}
 	return "", nil
 }
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -6,10 +6,13 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 )
 
 // The exit codes of a case.
@@ -72,6 +75,21 @@
 	return exitHeld
 }
 
+// stopOnSignal ends the case with all processes that it started when a signal asks for it.
+func stopOnSignal(folder string) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	var group errgroup.Group
+	group.Go(func() error {
+		<-signals
+		started.killAll()
+		// The process ends here.
+		_ = os.RemoveAll(folder)
+		os.Exit(exitNotRun)
+		return nil
+	})
+}
+
 func runCase(name, recordFile string) (found verdict, err error) {
 	defer func() { err = errors.Wrapf(err, "case %s", name) }()
 	file, err := os.Create(recordFile)
@@ -84,6 +102,7 @@
 		return "", err
 	}
 	defer func() { err = errors.CombineErrors(err, os.RemoveAll(folder)) }()
+	stopOnSignal(folder)
 	e := &environment{
 		record:  &record{file: file, started: time.Now()},
 		trouble: os.Getenv("TROUBLE") != "0", program: "target/vanillatally", folder: folder,
--- a/review/standin-2/memory.go
+++ b/review/standin-2/memory.go
@@ -1,15 +1,19 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -89,7 +93,7 @@
 // again after a short delay. It counts the kills and keeps the highest figure.
 func enforceMemory(ctx context.Context, h *host, kills *atomic.Int64, peak *atomic.Int64) error {
 	limit := int64(h.memoryMB) << 20
-	ticker := time.NewTicker(20 * time.Millisecond)
+	ticker := time.NewTicker(10 * time.Millisecond)
 	defer ticker.Stop()
 	for {
 		select {
@@ -126,34 +130,86 @@
 	return b.String()
 }
 
-// memoryCase lets clients send something to both of two machines and judges the rule Fault: processes end by themselves three times
-// on two machines at least, memory over the limit included.
+// keptChannels is the number of channels that ordinary clients keep at each machine, and lostBound the number of lost requests that the
+// rule LOST allows.
+const (
+	keptChannels = 6
+	lostBound    = 3
+)
+
+// keptClient sends unsafe requests one after the other on a channel that it keeps, until ctx ends. When the channel ends, it opens
+// another one. It returns the attempts on a kept channel that got no answer.
+func keptClient(ctx context.Context, r *record, address string) (unanswered []string, answered int) {
+	for ctx.Err() == nil {
+		conn, err := net.DialTimeout("tcp4", address, connectTime)
+		if err != nil {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		reader := bufio.NewReader(conn)
+		for served := 0; ctx.Err() == nil; served++ {
+			attempt := newAttempt()
+			status, err := exchange(conn, reader, attempt)
+			r.write("client %s /post/1 to %s on a channel with %d answers: %d %v", attempt, address, served, status, err)
+			if err != nil {
+				if served > 0 {
+					unanswered = append(unanswered, attempt)
+				}
+				break
+			}
+			answered++
+		}
+		// The channel is not used again.
+		_ = conn.Close()
+		time.Sleep(100 * time.Millisecond)
+	}
+	return unanswered, answered
+}
+
+// exchange sends one unsafe request on a channel and reads its answer.
+func exchange(conn net.Conn, reader *bufio.Reader, attempt string) (status int, err error) {
+	if err := conn.SetDeadline(time.Now().Add(3 * time.Second)); err != nil {
+		return 0, err
+	}
+	_, err = fmt.Fprintf(conn, "POST /post/1 HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: 2500\r\nKey: %s\r\nContent-Length: 0\r\n\r\n",
+		hostName, attempt, clientKey)
+	if err != nil {
+		return 0, err
+	}
+	response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodPost})
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
+
+// memoryCase lets clients send something to both of two machines three times, and judges the rule LOST: a machine passes a request
+// from a kept channel on to a sound instance and closes that channel without an answer, more than three times. A process that ends by
+// itself, memory over the limit included, counts as running.
 func memoryCase(ctx context.Context, e *environment, m machine, attack func(ctx context.Context, h *host) error) (verdict, error) {
-	d, err := startDeployment(ctx, e, m, 3, 20*time.Millisecond, "sj-a", "lib-a")
+	d, err := startDeployment(ctx, e, m, 3, 300*time.Millisecond, "sj-a", "lib-a")
 	if err != nil {
 		return "", err
 	}
 	defer d.stop()
 	kills, peaks := make([]atomic.Int64, len(d.hosts)), make([]atomic.Int64, len(d.hosts))
-	served, asked := 0, 0
 	watchCtx, stopWatch := context.WithCancel(ctx)
 	defer stopWatch()
-	var watch errgroup.Group
+	var watch, ordinary errgroup.Group
+	unanswered, answered := make([][]string, len(d.hosts)*keptChannels), make([]int, len(d.hosts)*keptChannels)
 	for n, h := range d.hosts {
 		watch.Go(func() error { return enforceMemory(watchCtx, h, &kills[n], &peaks[n]) })
-	}
-	ask := func() {
-		for _, h := range d.hosts {
-			asked++
-			if send(e.record, h.caller, http.MethodGet, "/look/1", 2*time.Second).status == http.StatusOK {
-				served++
-			}
+		for k := range keptChannels {
+			ordinary.Go(func() error {
+				unanswered[n*keptChannels+k], answered[n*keptChannels+k] = keptClient(watchCtx, e.record, h.caller)
+				return nil
+			})
 		}
 	}
-	ask()
-	if served != asked {
-		return "", fmt.Errorf("%d of %d requests were served before the clients came", served, asked)
-	}
+	// The ordinary clients' channels are kept by then.
+	time.Sleep(2 * time.Second)
 	for round := range memoryRounds {
 		roundCtx, cancel := context.WithTimeout(ctx, memoryRoundTime)
 		var clients errgroup.Group
@@ -170,23 +226,44 @@
 				return "", err
 			}
 		}
-		ask()
+		time.Sleep(2 * time.Second)
 	}
 	stopWatch()
-	if err := watch.Wait(); err != nil {
+	if err := errors.CombineErrors(watch.Wait(), ordinary.Wait()); err != nil {
 		return "", err
 	}
-	ended := 0
+	return d.judgeLost(e, kills, peaks, slices.Concat(unanswered...), answered)
+}
+
+// judgeLost counts the unanswered attempts of kept channels that an instance ran.
+func (d *deployment) judgeLost(e *environment, kills, peaks []atomic.Int64, unanswered []string, answered []int) (verdict, error) {
+	ran := map[string]bool{}
+	for _, i := range d.instances {
+		for _, r := range i.executions() {
+			ran[r.attempt] = true
+		}
+	}
+	lost := 0
+	for _, attempt := range unanswered {
+		if ran[attempt] {
+			lost++
+		}
+	}
+	total, killed := 0, int64(0)
+	for _, n := range answered {
+		total += n
+	}
 	for n, h := range d.hosts {
 		e.write("host %s: killed %d times, at most %d bytes", h.name, kills[n].Load(), peaks[n].Load())
-		if kills[n].Load() >= memoryRounds {
-			ended++
-		}
+		killed += kills[n].Load()
+	}
+	e.write("%d requests of kept channels ran at an instance and got no answer, %d were answered", lost, total)
+	if total == 0 {
+		return "", errors.New("no ordinary request was answered")
 	}
-	e.write("ordinary callers: %d of %d requests served", served, asked)
-	if ended == len(d.hosts) {
-		return verdict(fmt.Sprintf("on %d of %d machines the process exceeded its memory and was killed %d times", ended, len(d.hosts),
-			memoryRounds)), nil
+	if lost > lostBound {
+		return verdict(fmt.Sprintf("%d requests of kept channels ran and got no answer (%d are allowed); processes exceeded their memory %d times",
+			lost, lostBound, killed)), nil
 	}
 	return "", nil
 }
