--- a/review/standin-2/memory.go
+++ b/review/standin-2/memory.go
@@ -271,7 +271,8 @@
 // holdAll opens n channels to the address, sends the same bytes on each, and holds them until the other side closes them or ctx ends.
 func holdAll(ctx context.Context, r *record, address string, n int, bytes string) error {
 	var group errgroup.Group
-	var sent, closed atomic.Int64
+	var sent, closed, received atomic.Int64
+	r.write("%d clients open a channel each to %s and send %d bytes, which begin with %q", n, address, len(bytes), bytes[:min(len(bytes), 100)])
 	for range n {
 		group.Go(func() error {
 			conn, err := net.DialTimeout("tcp4", address, connectTime)
@@ -288,7 +289,9 @@
 			sent.Add(1)
 			var buffer [4096]byte
 			for {
-				if _, err := conn.Read(buffer[:]); err != nil {
+				got, err := conn.Read(buffer[:])
+				received.Add(int64(got))
+				if err != nil {
 					closed.Add(1)
 					return nil
 				}
@@ -296,6 +299,7 @@
 		})
 	}
 	err := group.Wait()
-	r.write("%d clients sent %d bytes each to %s; %d channels ended", sent.Load(), len(bytes), address, closed.Load())
+	r.write("%d clients sent %d bytes each to %s and got %d bytes together; %d channels ended, the last ones by the clients", sent.Load(),
+		len(bytes), address, received.Load(), closed.Load())
 	return err
 }
--- a/review/standin-2/slots.go
+++ b/review/standin-2/slots.go
@@ -43,6 +43,7 @@
 		}
 		_, _ = io.Copy(io.Discard, response.Body)
 		_ = response.Body.Close()
+		e.write("the readiness check of %s: %d", h.name, response.StatusCode)
 		return response.StatusCode == http.StatusOK
 	}
 	if got := send(e.record, h.caller, http.MethodGet, "/look/1", 2*time.Second); got.status != http.StatusOK || !isReady() {
