Log the number of a server's report, and a leaving server that returns

Cause: a host logged when a server began to leave, but not when its entry took that back, and no line told which report an entry was written from.

Nothing decides by it yet.

--- a/host/entry/view.go
+++ b/host/entry/view.go
@@ -99,11 +99,15 @@
 		h.restore.replaceServer(now, known, entry)
 		h.servers[entry.ID] = newServer(entry, entry.Region == h.settings.Region, now)
 		h.log.Emit(events.ServerAdded, "server", entry.ID, "service", entry.Service, "version", entry.Version,
-			"failure-domain", entry.FailureDomain, "cold-for", entry.ColdFor, "leaving", entry.Leaving)
+			"failure-domain", entry.FailureDomain, "cold-for", entry.ColdFor, "leaving", entry.Leaving, "report", entry.Report)
 		return
 	}
-	if entry.Leaving && !known.Leaving {
-		h.log.Emit(events.ServerLeaving, "server", entry.ID, "service", entry.Service)
+	switch {
+	case entry.Leaving && !known.Leaving:
+		h.log.Emit(events.ServerLeaving, "server", entry.ID, "service", entry.Service, "report", entry.Report)
+	case !entry.Leaving && known.Leaving:
+		h.log.Emit(events.ServerReturned, "server", entry.ID, "service", entry.Service, "report", entry.Report,
+			"earlier-report", known.Report)
 	}
 	known.updateListing(entry, now)
 }
--- a/io/events/catalogue.go
+++ b/io/events/catalogue.go
@@ -212,6 +212,10 @@
 		721, slog.LevelInfo, "requests sent to a backend server with a limit",
 		"The number of requests that this host sent in the time of the line. The sum over all hosts should not exceed the limit times that time.",
 	}
+	ServerReturned = Event{
+		722, slog.LevelWarn, "leaving backend server is listed as ready again",
+		"It gets new requests again. The line gives the numbers of its report before and now: a lower one now means that the store executed an older write late.",
+	}
 	StoreRestored = Event{
 		740, slog.LevelWarn, "store was restored from an older copy",
 		"Its era has risen. Evacuations, leaving and removed backend servers and rollouts stay as they were until they are written again, for six seconds at most. Check whether the last changes are in the store.",
@@ -240,5 +244,6 @@
 	ServerListReadFailed, StoreUnavailable, StoreRecovered, StoreObjectInvalid, ServerAdded, ServerLeaving, ServerRemoved,
 	DomainEvacuated, DomainRestored, ServerUnreachable, ServerReachable, HostRegistered, SettingsReloaded, SettingsRejected,
 	StoreViewStale, PollerRoleChanged, WatchersChanged, ServerLimitStated, ServerLimitEnded, ServerLimitInvalid, ServerLimitUsed,
+	ServerReturned,
 	StoreRestored, RestoreHoldEnded, StoreEraInvalid,
 }
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -38,6 +38,9 @@
 	// Started is the Unix time of the server's start in milliseconds, or 0 if unknown. It distinguishes a restarted
 	// server from the previous one with the same id.
 	Started int64 `json:"started,omitempty"`
+	// Report is the number of the server's report that the entry was written from, counted from 1 after each start, or 0 if
+	// unknown. Of two entries of one process, the one with the higher number is newer, whichever was listed last.
+	Report uint64 `json:"report,omitempty"`
 }
 
 // MaxSlots bounds the slots that a server may state. A server with an absurd number would look idle and get all requests.
