Ignore entries of backend servers that are older than the known ones

Cause: a host took the entry that the store wrote last for the newest one. The store may execute a write seconds after it was sent: the answer to the server's report 2 ("ready") was lost, reports 3 to 6 followed, the last of them "draining", and then the store executed report 2. upsertServer compared address and start only. The same held for an entry of an earlier start, and for a server whose entry had been removed.

Fix: core/listing orders entries by the start of the process and the number of the report. host/entry drops an entry that precedes the known one, or the last one of a server that left within 30 s, and logs it (723). A live server's next report is newer, so that nothing has to be taken back; without a start or a number the order is unknown and the entry counts, as before. That works because the number is the server's own: it doesn't depend on when a write is executed.

--- a/host/entry/host.go
+++ b/host/entry/host.go
@@ -18,6 +18,7 @@
 
 	"vanillatally/core/admission"
 	"vanillatally/core/config"
+	"vanillatally/core/listing"
 	"vanillatally/core/memory"
 	"vanillatally/core/retry"
 	"vanillatally/core/rollout"
@@ -106,6 +107,8 @@
 	// keepUnlistedUntil is the time until which servers that are no longer listed are kept.
 	keepUnlistedUntil time.Duration
 	restore           storeRestore
+	// removedVersions holds the newest versions of the entries of servers that left the list, at most maxRemovals.
+	removedVersions removals[listing.Version]
 
 	// viewReady is closed once there are a configuration and a list of servers.
 	viewReady chan struct{}
--- a/host/entry/view.go
+++ b/host/entry/view.go
@@ -78,7 +78,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.now()
-	listed = h.restrictServers(now, listed)
+	listed = h.restrictServers(now, h.currentEntries(now, listed))
 	present := make(map[string]bool, len(listed))
 	for _, entry := range listed {
 		present[entry.ID] = true
@@ -97,6 +97,7 @@
 	if known == nil || known.Address != entry.Address || known.Started != entry.Started {
 		h.recordNewProcess(now, known, entry)
 		h.restore.replaceServer(now, known, entry)
+		delete(h.removedVersions.entries, entry.ID)
 		h.servers[entry.ID] = newServer(entry, entry.Region == h.settings.Region, now)
 		h.log.Emit(events.ServerAdded, "server", entry.ID, "service", entry.Service, "version", entry.Version,
 			"failure-domain", entry.FailureDomain, "cold-for", entry.ColdFor, "leaving", entry.Leaving, "report", entry.Report)
@@ -140,6 +141,7 @@
 	removed := h.servers[id]
 	h.log.Emit(events.ServerRemoved, "server", id, "service", removed.Service)
 	h.restore.removedServers.add(h.now(), id, processOf(removed.BackendServer))
+	h.removedVersions.add(h.now(), id, versionOf(removed.BackendServer))
 	delete(h.servers, id)
 	delete(h.unlisted, id)
 }
--- a/io/events/catalogue.go
+++ b/io/events/catalogue.go
@@ -214,7 +214,11 @@
 	}
 	ServerReturned = Event{
 		722, slog.LevelWarn, "leaving backend server is listed as ready again",
-		"It gets new requests again. The line gives the numbers of its report before and now: a lower one now means that the store executed an older write late.",
+		"It gets new requests again: it said so in a newer report, or in one without a number. The line gives the numbers of its report before and now.",
+	}
+	ServerEntryOutdated = Event{
+		723, slog.LevelWarn, "entry of a backend server is older than the known one",
+		"The store executed an earlier write of the server late. The entry is ignored, and the next report of the server replaces it.",
 	}
 	StoreRestored = Event{
 		740, slog.LevelWarn, "store was restored from an older copy",
@@ -244,6 +248,6 @@
 	ServerListReadFailed, StoreUnavailable, StoreRecovered, StoreObjectInvalid, ServerAdded, ServerLeaving, ServerRemoved,
 	DomainEvacuated, DomainRestored, ServerUnreachable, ServerReachable, HostRegistered, SettingsReloaded, SettingsRejected,
 	StoreViewStale, PollerRoleChanged, WatchersChanged, ServerLimitStated, ServerLimitEnded, ServerLimitInvalid, ServerLimitUsed,
-	ServerReturned,
+	ServerReturned, ServerEntryOutdated,
 	StoreRestored, RestoreHoldEnded, StoreEraInvalid,
 }
