Reject a response without a length after a failed write

Cause: the kernel reports a reset once. If a write gets the error, reading returns the bytes that had arrived and then an end of the stream, as after an orderly close, and the end of the stream is the end of a body without a length. The client reads such an early response on purpose, since it may shed load.

Fix: after a failed write, a response without a length fails as truncated, so that the caller gets a 502 or another attempt, and the connection is not used again. It works because only such a response has no other sign of its end; lengths and chunks are still checked, and these responses still count.

--- a/io/backends/connection.go
+++ b/io/backends/connection.go
@@ -37,6 +37,8 @@
 	pool    *Pool
 	// sent is the number of bytes of the current request that were written to the socket.
 	sent int64
+	// requestCut is set if the current request could not be sent whole because a write failed.
+	requestCut bool
 	// headerBytesLeft is the number of bytes that may still be read while reading headers; -1 means no limit.
 	headerBytesLeft int
 	// deadline ends the current exchange; inactivityTimeout limits the time without a byte sent or received. Zero values mean
@@ -98,6 +100,7 @@
 // startExchange prepares the connection for a request that must end by deadline and fails after inactivityTimeout without a
 // byte sent or received.
 func (c *connection) startExchange(deadline time.Time, inactivityTimeout time.Duration) {
+	c.requestCut = false
 	c.sent, c.headerBytesLeft, c.deadline, c.inactivityTimeout, c.exchangeGuard = 0, -1, deadline, inactivityTimeout, nil
 	if c.br == nil {
 		c.br = readerPool.Get().(*bufio.Reader)
--- a/io/backends/exchange.go
+++ b/io/backends/exchange.go
@@ -136,6 +136,7 @@
 	}()
 	started := time.Now()
 	if err := c.send(conn, r); err != nil {
+		conn.requestCut = true
 		if !c.respondedEarly(conn, err) {
 			cause := CauseClosed
 			if r.BodyReadFailed != nil && r.BodyReadFailed() {
@@ -258,6 +259,11 @@
 		}
 		// A close-delimited body has no length to check its completeness against. A response to HEAD has no body.
 		closeDelimited := head.ContentLength < 0 && len(head.TransferEncoding) == 0 && r.HTTP.Method != http.MethodHead
+		if closeDelimited && conn.requestCut {
+			// The failed write has consumed the error of a reset, after which reading shows the same end of the stream as after an
+			// orderly close.
+			return nil, &Failure{Cause: CauseTruncated, Sent: true, Err: errors.New("a response without a length ended with the request")}
+		}
 		if closeDelimited && !c.options.AllowCloseDelimited || head.ProtoMajor != 1 || head.ProtoMinor < 1 {
 			return nil, &Failure{Cause: CauseMalformed, Sent: true, Err: errors.New("the response is not HTTP/1.1 with a stated length")}
 		}
@@ -331,7 +337,7 @@
 	if b.conn.duplicateSeen || b.conn.br.Buffered() > 0 {
 		b.conn.pool.options.count(EventBytesAfterResponse, b.conn.pool.address)
 		b.response.reuseFailure = &Failure{Cause: CauseMalformed, Sent: true, Err: errors.New("bytes after the response")}
-	} else if b.head.Close {
+	} else if b.head.Close || b.conn.requestCut {
 		b.response.reuseFailure = &Failure{Cause: CauseClosed, Sent: true}
 	}
 }
