Count responses against the memory while they arrive

Cause: a host buffered up to 256 KiB of each body and 64 KiB of each head, and counted a body against its budget only once that was there. Each response had a bound, their sum had none.

Fix: the client of backend servers asks for memory before it buffers more than 16 KiB of a body or 4 KiB of a head; host/entry takes it from the part of the budget for responses. If it is refused, the body is streamed from there on, and a longer head fails the attempt. The budget doesn't evict a response whose server is still sending, since its caller can't make progress. It works because what is buffered is now asked for before it is allocated; a stream holds a fixed amount and was counted before. Status checks buffer 16 KiB at most.

TestLateEvictionLeavesConnectionUsable reserves 16 KiB as before, by the constant's new place.

--- a/core/memory/budget.go
+++ b/core/memory/budget.go
@@ -74,7 +74,9 @@
 	progress time.Duration
 	// complete is set when all bytes have arrived. The holder then keeps them until it is released.
 	complete bool
-	evicted  bool
+	// receiving is set while a server sends the response. The holder is not evicted then, since its caller cannot make progress.
+	receiving bool
+	evicted   bool
 }
 
 // Budget is the byte budget of a host. Its methods change it in place; its owner calls them under one lock. It has one entry
@@ -172,7 +174,7 @@
 		return Change{}
 	}
 	excess -= b.evictedBytes(h.part)
-	idle := b.sorted(h.part, func(o *holder) bool { return o.id != id }, func(a, o *holder) bool { return a.progress < o.progress })
+	idle := b.sorted(h.part, func(o *holder) bool { return o.id != id && !o.receiving }, func(a, o *holder) bool { return a.progress < o.progress })
 	var change Change
 	for _, o := range idle {
 		stalled := now-o.progress >= b.limits.StallAfter
@@ -186,6 +188,36 @@
 	return change
 }
 
+// Reserve gives n more bytes to a holder of Responses for a response that a server is sending, if they fit. Until Received is
+// called, the holder is not evicted.
+func (b *Budget) Reserve(id ID, n int64) bool {
+	h := b.holders[id]
+	if h == nil || b.used[h.part]+n > b.limits.Bytes[h.part] {
+		return false
+	}
+	h.receiving = true
+	h.bytes += n
+	b.used[h.part] += n
+	return true
+}
+
+// Received records that a holder of Responses has the whole response, or its buffered part, and starts to send it.
+func (b *Budget) Received(now time.Duration, id ID) {
+	if h := b.holders[id]; h != nil {
+		h.receiving, h.progress = false, now
+	}
+}
+
+// Resize sets the bytes of a holder of Responses to n, and returns the holders that are evicted if these are more.
+func (b *Budget) Resize(now time.Duration, id ID, n int64) Change {
+	b.Shrink(id, n)
+	h := b.holders[id]
+	if h == nil || h.bytes == n {
+		return Change{}
+	}
+	return b.Charge(now, id, n-h.bytes)
+}
+
 // Shrink reduces a holder of Responses to n bytes, when the others have been sent.
 func (b *Budget) Shrink(id ID, n int64) {
 	if h := b.holders[id]; h != nil && h.bytes > n {
--- a/core/memory/budget_test.go
+++ b/core/memory/budget_test.go
@@ -303,3 +303,33 @@
 		t.Errorf("evicted %v before the first one was released", change.Evicted)
 	}
 }
+
+// Guards against responses that servers are sending and that exceed the part, lose their bytes meanwhile, or keep them from
+// eviction for ever.
+func TestReceivedResponsesStayInTheirPart(t *testing.T) {
+	limits := testLimits()
+	b := New(limits)
+	receiving, other := b.Open(0, Responses), b.Open(0, Responses)
+	if !b.Reserve(receiving, limits.Bytes[Responses]-SmallBody) || !b.Reserve(other, SmallBody) {
+		t.Fatal("responses that fill the part have no room")
+	}
+	if b.Reserve(other, 1) || b.Used(Responses) != limits.Bytes[Responses] {
+		t.Errorf("%d bytes of %d are used, and one more was granted", b.Used(Responses), limits.Bytes[Responses])
+	}
+	now := time.Minute
+	stream := b.Open(now, Responses)
+	if change := b.Resize(now, stream, SmallBody); len(change.Evicted) > 0 {
+		t.Errorf("evicted %v, whose servers are still sending", change.Evicted)
+	}
+	b.Received(now, receiving)
+	now += limits.StallAfter
+	if change := b.Resize(now, stream, 2*SmallBody); !slices.Equal(change.Evicted, []ID{receiving}) {
+		t.Errorf("evicted %v, want %d, whose caller does not read", change.Evicted, receiving)
+	}
+	if change := b.Resize(now, stream, 1); len(change.Evicted) > 0 || b.holders[stream].bytes != 1 {
+		t.Errorf("a stream that shrinks to 1 byte has %d and evicts %v", b.holders[stream].bytes, change.Evicted)
+	}
+	if b.Reserve(ID(99), 1) {
+		t.Error("a holder that is not open was given a byte")
+	}
+}
--- a/host/entry/answer.go
+++ b/host/entry/answer.go
@@ -20,9 +20,7 @@
 	x.status = response.Status
 	// The request is not sent again.
 	x.releaseBody()
-	if len(response.Body) >= chargedResponseBytes {
-		x.reserveResponse(len(response.Body))
-	}
+	x.responseReservation.received()
 	callers.StripHopByHopHeaders(response.Header)
 	header := x.w.Header()
 	for name, values := range response.Header {
@@ -46,9 +44,7 @@
 		return nil
 	}
 	response.Body = nil
-	if x.responseReservation == nil {
-		x.reserveResponse(0)
-	}
+	x.openResponseReservation()
 	x.responseReservation.streamFrom(x.lastServer.Address)
 	if err := callers.Stream(x.w, response.RemainingBody, x.extendWrite); err != nil {
 		x.recordIncompleteResponse(err)
--- a/host/entry/attempt.go
+++ b/host/entry/attempt.go
@@ -40,7 +40,7 @@
 	}
 	started := x.host.now()
 	x.attemptStarted, x.attemptPace = started, s.paceAt(started)
-	request := &backends.Request{HTTP: x.newServerRequest(s, timeLeft), ID: x.id, Deadline: x.deadline}
+	request := &backends.Request{HTTP: x.newServerRequest(s, timeLeft), ID: x.id, Deadline: x.deadline, Reserve: x.reserveResponse}
 	observation := x.host.observe(v, s, x.routeName, x.slowThreshold(s, choice))
 	defer observation.close()
 	response, failure := x.send(s, request)
--- a/host/entry/body_memory.go
+++ b/host/entry/body_memory.go
@@ -21,10 +21,8 @@
 	bodyWait = 2 * time.Second
 	// bodyWaitInterval is the time between two checks of a waiting body for holders that have stalled in the meantime.
 	bodyWaitInterval = 200 * time.Millisecond
-	// chargedResponseBytes is the length from which a buffered response counts against the budget.
-	chargedResponseBytes = 16 << 10
 	// streamBytes is what a response that is being streamed takes, with the buffers of the connection to the server.
-	streamBytes = callers.StreamChunkBytes + 16<<10
+	streamBytes = callers.StreamChunkBytes + backends.UnreservedBytes
 	// bodyChunkBytes is the unit in which bodies take bytes.
 	bodyChunkBytes = memory.SmallBody
 	// lookaheadBytes is the buffer that shows whether a body of unknown length goes on; longer reads bypass it.
@@ -165,11 +163,28 @@
 	return kept
 }
 
-// charge adds n bytes of a response that was received.
-func (r *bodyReservation) charge(n int64) {
+// reserve takes n more bytes for a response that a server is sending, and reports whether they are there.
+func (r *bodyReservation) reserve(n int64) bool {
 	r.owner.mu.Lock()
 	defer r.owner.mu.Unlock()
-	r.owner.apply(r.owner.budget.Charge(r.owner.host.now(), r.id, n))
+	return r.owner.budget.Reserve(r.id, n)
+}
+
+// shrink keeps n bytes at most.
+func (r *bodyReservation) shrink(n int64) {
+	r.owner.mu.Lock()
+	defer r.owner.mu.Unlock()
+	r.owner.budget.Shrink(r.id, n)
+}
+
+// received records that the response, or its buffered part, is passed on to the caller from now on. It may be called on nil.
+func (r *bodyReservation) received() {
+	if r == nil {
+		return
+	}
+	r.owner.mu.Lock()
+	defer r.owner.mu.Unlock()
+	r.owner.budget.Received(r.owner.host.now(), r.id)
 }
 
 // extendWrite records that the caller has read a part of the response and sets the deadline of the next write. It returns
@@ -191,7 +206,7 @@
 	r.owner.mu.Lock()
 	defer r.owner.mu.Unlock()
 	r.server = server
-	r.owner.budget.Shrink(r.id, streamBytes)
+	r.owner.apply(r.owner.budget.Resize(r.owner.host.now(), r.id, streamBytes))
 }
 
 // evictStalledStream ends the response whose caller has not read for the longest time, if it occupies a connection to the
@@ -244,11 +259,35 @@
 	x.bodyReservation = nil
 }
 
-// reserveResponse counts a buffered response of n bytes against the budget until the exchange ends.
-func (x *exchange) reserveResponse(n int) {
+// openResponseReservation opens the reservation of the response unless it is open. It is kept until the exchange ends.
+func (x *exchange) openResponseReservation() {
+	if x.responseReservation != nil {
+		return
+	}
 	control := http.NewResponseController(x.w)
 	x.responseReservation = x.host.bodyMemory.open(memory.Responses, func() { _ = control.SetWriteDeadline(pastDeadline) })
-	x.responseReservation.charge(int64(n))
+}
+
+// reserveResponse takes n more bytes for the response that a server is sending, and reports whether they are there.
+func (x *exchange) reserveResponse(n int) bool {
+	x.openResponseReservation()
+	granted := x.responseReservation.reserve(int64(n))
+	if !granted {
+		x.host.metrics.Count("responses-unbuffered", "", "", "", 1)
+	}
+	return granted
+}
+
+// dropReceived gives back the bytes of responses that are not passed on, except those of the fallback.
+func (x *exchange) dropReceived() {
+	if x.responseReservation == nil {
+		return
+	}
+	kept := 0
+	if x.fallback != nil {
+		kept = max(len(x.fallback.Body)-backends.UnreservedBytes, 0)
+	}
+	x.responseReservation.shrink(int64(kept))
 }
 
 // extendWrite gives the next write to the caller callers.WriteTimeout, unless the response was evicted.
--- a/host/entry/body_memory_test.go
+++ b/host/entry/body_memory_test.go
@@ -14,6 +14,7 @@
 
 	"vanillatally/core/memory"
 	"vanillatally/core/placement"
+	"vanillatally/io/backends"
 )
 
 // bodySource is a body of a request in pieces, with a function that is called before each piece.
@@ -249,7 +250,10 @@
 	h := newTestHost(t, newBackend(t, answerOK))
 	deadlines := &lastDeadline{ResponseRecorder: httptest.NewRecorder()}
 	x := &exchange{host: h, w: deadlines}
-	x.reserveResponse(chargedResponseBytes)
+	if !x.reserveResponse(backends.UnreservedBytes) {
+		t.Fatal("an empty budget has no room for a response")
+	}
+	x.responseReservation.received()
 	if err := x.extendWrite(); err != nil || deadlines.write.IsZero() {
 		t.Fatalf("deadline %v, error %v before the eviction", deadlines.write, err)
 	}
--- a/host/entry/probes.go
+++ b/host/entry/probes.go
@@ -88,6 +88,8 @@
 			Header: http.Header{"User-Agent": {""}}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody,
 		},
 		Deadline: time.Now().Add(probeTimeout),
+		// Only the headers matter.
+		Reserve: func(int) bool { return false },
 	})
 	if failure != nil {
 		return false
--- a/host/entry/request.go
+++ b/host/entry/request.go
@@ -315,6 +315,7 @@
 			return x.fail(result.final)
 		}
 		x.attempts++
+		x.dropReceived()
 		if !result.mayRepeat {
 			x.tried = append(x.tried, s)
 		}
--- a/io/backends/connection.go
+++ b/io/backends/connection.go
@@ -16,6 +16,9 @@
 // maxHeaderBytes bounds the status line and headers of a response, so that a faulty server cannot exhaust the memory.
 const maxHeaderBytes = 64 << 10
 
+// unreservedHeaderBytes is the length of the headers up to which no memory is reserved. It is the size of the read buffer.
+const unreservedHeaderBytes = readBufferBytes
+
 const (
 	// tcpUserTimeoutOption is the Linux socket option TCP_USER_TIMEOUT, which package syscall does not define.
 	tcpUserTimeoutOption = 18
@@ -24,10 +27,17 @@
 	tcpUserTimeoutMS = 1900
 )
 
+// The sizes of a connection's buffers.
+const (
+	readBufferBytes  = 4 << 10
+	writeBufferBytes = 4 << 10
+)
+
 var (
-	errHeaderTooLong = errors.New("response headers are longer than 64 KiB")
-	readerPool       = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 4<<10) }}
-	writerPool       = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, 4<<10) }}
+	errHeaderTooLong   = errors.New("response headers are longer than 64 KiB")
+	errHeaderUnbounded = errors.New("there is no memory for response headers longer than 4 KiB")
+	readerPool         = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferBytes) }}
+	writerPool         = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }}
 )
 
 // connection is one TCP connection to a backend server. It serves one request at a time (no pipelining).
@@ -41,6 +51,9 @@
 	requestCut bool
 	// headerBytesLeft is the number of bytes that may still be read while reading headers; -1 means no limit.
 	headerBytesLeft int
+	// reserve asks for memory for the current response, see Request.Reserve. headerReserved is set once it granted long headers.
+	reserve        func(n int) bool
+	headerReserved bool
 	// deadline ends the current exchange; inactivityTimeout limits the time without a byte sent or received. Zero values mean
 	// no limit.
 	deadline          time.Time
@@ -97,11 +110,10 @@
 	})
 }
 
-// startExchange prepares the connection for a request that must end by deadline and fails after inactivityTimeout without a
-// byte sent or received.
-func (c *connection) startExchange(deadline time.Time, inactivityTimeout time.Duration) {
-	c.requestCut = false
-	c.sent, c.headerBytesLeft, c.deadline, c.inactivityTimeout, c.exchangeGuard = 0, -1, deadline, inactivityTimeout, nil
+// startExchange prepares the connection for a request.
+func (c *connection) startExchange(r *Request) {
+	c.sent, c.requestCut, c.headerBytesLeft, c.exchangeGuard = 0, false, -1, nil
+	c.deadline, c.inactivityTimeout, c.reserve, c.headerReserved = r.Deadline, r.InactivityTimeout, r.reserve, false
 	if c.br == nil {
 		c.br = readerPool.Get().(*bufio.Reader)
 		c.br.Reset(c)
@@ -149,6 +161,9 @@
 	if c.headerBytesLeft == 0 {
 		return 0, errHeaderTooLong
 	}
+	if c.headerBytesLeft > 0 && c.headerBytesLeft <= maxHeaderBytes-unreservedHeaderBytes && !c.reserveHeader() {
+		return 0, errHeaderUnbounded
+	}
 	if c.headerBytesLeft > 0 && len(p) > c.headerBytesLeft {
 		p = p[:c.headerBytesLeft]
 	}
@@ -159,6 +174,12 @@
 	return n, err
 }
 
+// reserveHeader reserves the memory for headers of maxHeaderBytes, once for each exchange.
+func (c *connection) reserveHeader() bool {
+	c.headerReserved = c.headerReserved || c.reserve(maxHeaderBytes-unreservedHeaderBytes)
+	return c.headerReserved
+}
+
 // alive reports whether an idle connection is open and has no byte to read. A byte that arrives on an idle connection
 // belongs to no request: it is a late or duplicate response.
 func (c *connection) alive() bool {
--- a/io/backends/exchange.go
+++ b/io/backends/exchange.go
@@ -1,11 +1,11 @@
 package backends
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,8 +32,17 @@
 	VerifiedWithin time.Duration
 	// BodyReadFailed, when set, reports whether reading the body from the caller failed, so that the server is not blamed.
 	BodyReadFailed func() bool
+	// Reserve, when set, is called before more than UnreservedBytes of a body or unreservedHeaderBytes of headers are buffered. It
+	// gets the number of further bytes and reports whether there is memory for them. Without it, the rest of a body is left to
+	// RemainingBody, and longer headers fail the attempt.
+	Reserve func(n int) bool
 }
 
+// UnreservedBytes is the length of a response body up to which no memory is reserved.
+const UnreservedBytes = 16 << 10
+
+func (r *Request) reserve(n int) bool { return r.Reserve == nil || r.Reserve(n) }
+
 // Response is a validated response. Either Body is complete and RemainingBody is nil, or RemainingBody continues after Body.
 type Response struct {
 	Status int
@@ -110,7 +119,7 @@
 // exchange sends r on conn and reads the response. Its caller returns the connection to the pool or retires it, unless
 // RemainingBody is set: then the reader does so at its end.
 func (c *Client) exchange(ctx context.Context, conn *connection, r *Request) (resp *Response, f *Failure) {
-	conn.startExchange(r.Deadline, r.InactivityTimeout)
+	conn.startExchange(r)
 	if r.InactivityTimeout == 0 {
 		if err := conn.netConn.SetDeadline(r.Deadline); err != nil {
 			return nil, classify(ctx, err, false, CauseClosed)
@@ -272,27 +281,20 @@
 	return nil, &Failure{Cause: CauseMalformed, Sent: true, Err: errors.New("too many informational responses")}
 }
 
-// readBody reads the whole body if it fits into BufferBytes, otherwise its first part; RemainingBody reads the rest.
+// readBody reads the whole body if it fits into BufferBytes and there is memory for it, otherwise its first part; RemainingBody
+// reads the rest.
 func (c *Client) readBody(
 	ctx context.Context, conn *connection, head *http.Response, resp *Response, r *Request, stop func() bool,
 ) (*Response, *Failure) {
 	reader := &bodyReader{body: head.Body, conn: conn, ctx: ctx, stop: stop, response: resp, head: head}
-	if head.ContentLength >= 0 && head.ContentLength <= int64(c.options.BufferBytes) || r.HTTP.Method == http.MethodHead {
-		if head.ContentLength > 0 && r.HTTP.Method != http.MethodHead {
-			resp.Body = make([]byte, head.ContentLength)
-			if _, err := io.ReadFull(reader.withInactivityTimeout(), resp.Body); err != nil {
-				return nil, classify(ctx, err, true, CauseTruncated)
-			}
-		}
-	} else {
-		var buffer bytes.Buffer
-		n, err := io.CopyN(&buffer, reader.withInactivityTimeout(), int64(c.options.BufferBytes))
-		resp.Body = buffer.Bytes()[:n]
-		if err == nil {
+	if r.HTTP.Method != http.MethodHead {
+		var err error
+		resp.Body, err = reader.buffer(r, c.options.BufferBytes)
+		switch {
+		case err == nil:
 			resp.RemainingBody = reader
 			return resp, nil
-		}
-		if !errors.Is(err, io.EOF) {
+		case !errors.Is(err, io.EOF):
 			return nil, classify(ctx, err, true, CauseTruncated)
 		}
 	}
@@ -300,6 +302,41 @@
 	return resp, nil
 }
 
+// firstBufferBytes is the size of the first buffer for a body of unknown length.
+const firstBufferBytes = 4 << 10
+
+// buffer reads up to limit bytes of the body, or fewer if there is no memory for more. It returns io.EOF if the body has ended.
+func (b *bodyReader) buffer(r *Request, limit int) (buffered []byte, err error) {
+	body, size := b.withInactivityTimeout(), min(firstBufferBytes, limit)
+	if length := b.head.ContentLength; length >= 0 && length <= int64(limit) {
+		size, limit = int(length), int(length)
+		if size > UnreservedBytes && !r.reserve(size-UnreservedBytes) {
+			size = UnreservedBytes
+		}
+	}
+	for {
+		buffered = slices.Grow(buffered, size-len(buffered))
+		for len(buffered) < size && err == nil {
+			var n int
+			n, err = body.Read(buffered[len(buffered):size])
+			buffered = buffered[:len(buffered)+n]
+		}
+		switch {
+		case err != nil:
+			return buffered, err
+		case size == limit && int64(limit) == b.head.ContentLength:
+			return buffered, io.EOF
+		case size == limit:
+			return buffered, nil
+		}
+		next := min(2*size, limit)
+		if next > UnreservedBytes && !r.reserve(next-max(size, UnreservedBytes)) {
+			return buffered, nil
+		}
+		size = next
+	}
+}
+
 // bodyReader reads a body with an inactivity timeout. At the end it returns the connection to the pool or retires it.
 type bodyReader struct {
 	body     io.Reader
