Answer requests that are read while a stop closes connections

What callers saw: in a planned stop, a request on a kept connection was read and the connection closed without an answer or a refusal (LOST).

Cause: after http.Server.Shutdown, net/http closes idle connections, also those from which it is reading a request, and drops each request whose head it has read since, without an answer.

Fix: Server.Shutdown closes the listener and then the waiting connections through the connection table, which ends their reads by a deadline in the past. The table already has the order of locks that serves a request which has arrived whole meanwhile; the connection closes after it. Connections that become idle later close at once. The shutdown ends when no connection is left.

--- a/io/callers/connections.go
+++ b/io/callers/connections.go
@@ -25,14 +25,19 @@
 	// longest time close.
 	headBytes atomic.Int64
 	onClosed  func(reason string)
+	// closing is set once connections that wait for a request are to be closed.
+	closing atomic.Bool
 
 	mu   sync.Mutex
 	open map[*pipeliningConn]struct{}
+	// empty is closed when closing is set and no connection is open.
+	empty chan struct{}
 }
 
 func newConnectionTable(o Options) *connectionTable {
 	return &connectionTable{
 		max: o.MaxConnections, maxHeadBytes: o.MaxHeadBytes, onClosed: o.OnClosed, open: map[*pipeliningConn]struct{}{},
+		empty: make(chan struct{}),
 	}
 }
 
@@ -40,6 +45,9 @@
 func (t *connectionTable) add(c *pipeliningConn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.closing.Load() {
+		return false
+	}
 	if t.max > 0 && len(t.open) >= t.max && !t.evictWaiting() {
 		t.onClosed("connections")
 		return false
@@ -51,7 +59,27 @@
 func (t *connectionTable) remove(c *pipeliningConn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if _, open := t.open[c]; !open {
+		return
+	}
 	delete(t.open, c)
+	if t.closing.Load() && len(t.open) == 0 {
+		close(t.empty)
+	}
+}
+
+// closeWaiting closes the connections that wait for a request, and the others once they do. A request that has been read whole is
+// served first.
+func (t *connectionTable) closeWaiting() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closing.Store(true)
+	if len(t.open) == 0 {
+		close(t.empty)
+	}
+	for c := range t.open {
+		c.evict()
+	}
 }
 
 func (t *connectionTable) count() int {
@@ -191,6 +219,9 @@
 		c.phase.Store(phaseIdle)
 		c.headBytes.Store(0)
 		c.uncount()
+		if c.table.closing.Load() {
+			c.evict()
+		}
 	}
 }
 
--- a/io/callers/server.go
+++ b/io/callers/server.go
@@ -58,6 +58,7 @@
 type Server struct {
 	options  Options
 	http     *http.Server
+	listener net.Listener
 	draining atomic.Bool
 	group    errgroup.Group
 	done     chan struct{}
@@ -90,6 +91,7 @@
 
 // Start serves connections of listener until Shutdown.
 func (s *Server) Start(listener net.Listener) {
+	s.listener = listener
 	s.group.Go(func() error {
 		s.table.run(s.stopping)
 		return nil
@@ -97,7 +99,7 @@
 	s.group.Go(func() error {
 		defer close(s.done)
 		defer close(s.stopping)
-		if err := s.http.Serve(pipeliningListener{listener, s.table}); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.http.Serve(pipeliningListener{listener, s.table}); !errors.Is(err, net.ErrClosed) {
 			return errors.Wrap(err, "serve callers")
 		}
 		return nil
@@ -123,7 +125,8 @@
 func (s *Server) Done() <-chan struct{} { return s.done }
 
 // Shutdown drains the server: it answers with "Connection: close" for DrainNotice, then stops listening and waits within ctx
-// until all requests in flight have ended.
+// until all requests in flight have ended. http.Server.Shutdown would close idle connections also while a request is being read
+// from them.
 func (s *Server) Shutdown(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrap(err, "shut down the server for callers") }()
 	s.draining.Store(true)
@@ -133,8 +136,15 @@
 	case <-notice.C:
 	case <-ctx.Done():
 	}
-	if err := s.http.Shutdown(ctx); err != nil {
+	if err := s.listener.Close(); err != nil {
 		return err
 	}
+	<-s.done
+	s.table.closeWaiting()
+	select {
+	case <-s.table.empty:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	return s.group.Wait()
 }
