Accept requests for at most half of the drain time

Cause: a draining host accepted requests for 2.5 s whatever its grace period; of 3 s, 2.5 s are there to finish them.

Evidence: TestDrainNoticeLeavesHalfOfTheTime fails with the constant (a grace period of 3 s: 2.5 s, want 1.25 s).

Fix: the notice is at most half of the time in which the host finishes its requests.

Measured: host/entry passes.

--- a/host/entry/drain_test.go
+++ b/host/entry/drain_test.go
@@ -127,3 +127,14 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a host with a short grace period that accepts requests until it is over.
+func TestDrainNoticeLeavesHalfOfTheTime(t *testing.T) {
+	for grace, want := range map[time.Duration]time.Duration{
+		time.Second: 250 * time.Millisecond, 3 * time.Second: 1250 * time.Millisecond, 6 * time.Second: drainNotice, time.Minute: drainNotice,
+	} {
+		if got := drainNoticeFor(settings.EntryHostLimits{GracePeriod: settings.Duration(grace)}); got != want {
+			t.Errorf("a host with a grace period of %v accepts requests for %v, want %v", grace, got, want)
+		}
+	}
+}
--- a/host/entry/host.go
+++ b/host/entry/host.go
@@ -135,8 +135,8 @@
 	// headerTimeout and maxHeaderBytes bound the header of a request.
 	headerTimeout  = 5 * time.Second
 	maxHeaderBytes = 64 << 10
-	// drainNotice is the time for which a draining host still accepts requests on open connections, while it asks callers to
-	// close them.
+	// drainNotice is the time for which a draining host still accepts requests, while it asks callers to close their connections. It
+	// is at most half of the drain time, so that the last ones can finish.
 	drainNotice = 2500 * time.Millisecond
 	// drainMargin is the time at the end of the grace period that is reserved for stopping the process.
 	drainMargin = 500 * time.Millisecond
@@ -183,7 +183,7 @@
 	h.registerGauges()
 	h.callers = callers.New(callers.Options{
 		Requests: h, MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
-		DrainNotice: drainNotice, BaseContext: h.grace, Logger: o.Log.Logger(),
+		DrainNotice: drainNoticeFor(o.Settings.Limits), BaseContext: h.grace, Logger: o.Log.Logger(),
 		MaxConnections: h.maxCallerConnections(), MaxHeadBytes: memory.MaxHeadBytes(h.memoryBytes()),
 		OnClosed: h.connectionClosed,
 	})
@@ -369,6 +369,11 @@
 	return time.Duration(limits.GracePeriod) - drainMargin
 }
 
+// drainNoticeFor returns the time for which a draining host accepts requests.
+func drainNoticeFor(limits settings.EntryHostLimits) time.Duration {
+	return min(drainNotice, drainTime(limits)/2)
+}
+
 // drain removes this host from lookups and waits for the requests in flight until the grace period ends.
 func (h *Host) drain() {
 	limit := drainTime(*h.limits.Load())
