--- a/host/entry/attempt.go
+++ b/host/entry/attempt.go
@@ -247,12 +247,6 @@
 	return callers.Refuse(statusClientClosedRequest, "caller-gone", "the caller has left")
 }
 
-// graceOver refuses a request that a stopping host cannot finish. fail turns it into a 502 if a server may have run the request.
-func graceOver() *callers.Refusal {
-	return callers.Refuse(http.StatusServiceUnavailable, "host-stopped", "the host's time to finish requests is over").
-		WithRetryAfter(shortRetryAfter)
-}
-
 func deadlineExceeded() *callers.Refusal {
 	return callers.Refuse(http.StatusServiceUnavailable, "deadline-exceeded", "the request's time is over")
 }
--- a/host/entry/host.go
+++ b/host/entry/host.go
@@ -135,11 +135,6 @@
 	// headerTimeout and maxHeaderBytes bound the header of a request.
 	headerTimeout  = 5 * time.Second
 	maxHeaderBytes = 64 << 10
-	// drainNotice is the time for which a draining host still accepts requests, while it asks callers to close their connections. It
-	// is at most half of the drain time, so that the last ones can finish.
-	drainNotice = 2500 * time.Millisecond
-	// drainMargin is the time at the end of the grace period that is reserved for stopping the process.
-	drainMargin = 500 * time.Millisecond
 	// maintainInterval is the time between two runs of the checks in maintain.
 	maintainInterval = 200 * time.Millisecond
 )
@@ -344,8 +339,8 @@
 	}
 }
 
-// maintain regularly removes unlisted servers, ends what outlived a restore of the store, chooses the hosts to follow, relists stale objects and forgets old limits and
-// crashes of servers, until ctx is cancelled.
+// maintain regularly removes unlisted servers, ends what outlived a restore of the store, chooses the hosts to follow, relists stale
+// objects and forgets old limits and crashes of servers, until ctx is cancelled.
 func (h *Host) maintain(ctx context.Context) error {
 	ticker := time.NewTicker(maintainInterval)
 	defer ticker.Stop()
@@ -363,32 +358,3 @@
 		}
 	}
 }
-
-// drainTime returns the time in which a draining host finishes its requests.
-func drainTime(limits settings.EntryHostLimits) time.Duration {
-	return time.Duration(limits.GracePeriod) - drainMargin
-}
-
-// drainNoticeFor returns the time for which a draining host accepts requests.
-func drainNoticeFor(limits settings.EntryHostLimits) time.Duration {
-	return min(drainNotice, drainTime(limits)/2)
-}
-
-// drain removes this host from lookups and waits for the requests in flight until the grace period ends.
-func (h *Host) drain() {
-	limit := drainTime(*h.limits.Load())
-	h.drainDeadline.Store(int64(h.now() + limit))
-	h.draining.Store(true)
-	// A probe may take as long as the rest of the grace period. Requests that wait for a slot must learn of its end.
-	close(h.stopping)
-	h.log.Emit(events.HostDraining, "in-flight", h.inFlight.Load())
-	h.fleet.sendHeartbeats()
-	// The last requests get an answer, while there is time to write it.
-	defer time.AfterFunc(limit-drainResponseMargin, h.endGrace).Stop()
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	defer cancel()
-	if err := h.callers.Shutdown(ctx); err != nil {
-		h.log.Emit(events.DrainTimedOut, "error", err, "in-flight", h.inFlight.Load())
-	}
-	h.fleet.sendHeartbeats()
-}
--- a/host/entry/request.go
+++ b/host/entry/request.go
@@ -24,8 +24,6 @@
 	maxRetryAfter = 2 * time.Second
 	// maxAttempts bounds the number of times that one request is sent to a server, including those that refused to run it.
 	maxAttempts = 4
-	// drainResponseMargin is the time that a draining host reserves for passing on its last responses.
-	drainResponseMargin = 100 * time.Millisecond
 	// statusClientClosedRequest is logged when the caller closed the connection; the caller does not receive it.
 	statusClientClosedRequest = 499
 )
@@ -192,17 +190,6 @@
 	return nil
 }
 
-// limitToDrain ends the request's time with the drain, if the host is draining: requests that cannot finish within the grace
-// period still get a response before the host closes its connections.
-func (x *exchange) limitToDrain() {
-	if !x.host.draining.Load() {
-		return
-	}
-	if at := x.host.start.Add(time.Duration(x.host.drainDeadline.Load()) - drainResponseMargin); at.Before(x.deadline) {
-		x.deadline = at
-	}
-}
-
 // checkRate takes a token of the team's rate limit, and refuses the request if there is none.
 func (x *exchange) checkRate() error {
 	if x.team == nil {
