--- a/io/backends/connection.go
+++ b/io/backends/connection.go
@@ -122,8 +122,9 @@
 	}
 }
 
-// releaseBuffers returns the buffers to their pools.
+// releaseBuffers returns the buffers to their pools, and drops the last request.
 func (c *connection) releaseBuffers() {
+	c.reserve = nil
 	if c.br == nil {
 		return
 	}
--- a/io/backends/exchange.go
+++ b/io/backends/exchange.go
@@ -32,7 +32,7 @@
 	// BodyReadFailed, when set, reports whether reading the body from the caller failed, so that the server is not blamed.
 	BodyReadFailed func() bool
 	// Reserve, when set, is called before more than UnreservedBytes of a body or unreservedHeaderBytes of headers are buffered. It
-	// gets the number of further bytes and reports whether there is memory for them. Without it, the rest of a body is left to
+	// gets the number of further bytes and reports whether there is memory for them. If not, the rest of a body is left to
 	// RemainingBody, and longer headers fail the attempt.
 	Reserve func(n int) bool
 }
