--- a/host/budgets/messages.go
+++ b/host/budgets/messages.go
@@ -64,7 +64,7 @@
 	Transfers map[string]budget.ShareTransfer `cbor:"carry,omitempty"`
 }
 
-// slotReleaseMessage tells the new holder of slots that the sender has stopped using them.
+// slotReleaseMessage informs the new holder of slots that the sender has stopped using them.
 type slotReleaseMessage struct {
 	// Incarnation is the sender's.
 	Incarnation uint64     `cbor:"incarnation"`
--- a/host/claims/fleet_test.go
+++ b/host/claims/fleet_test.go
@@ -35,7 +35,7 @@
 // disabledSafeguards turn off single safeguards in the fakes, to show that the tests fail without each of them.
 type disabledSafeguards struct {
 	// noGather drops the gathered records. noCopies drops the records from messages that place copies. noLeaseCheck treats
-	// every lease as valid. noBlocking lets new owners believe that lost copies were replaced. noEpochFence resets the
+	// every lease as valid. noBlocking makes new owners take lost copies for replaced ones. noEpochFence resets the
 	// owner epoch below which a host rejects grants.
 	noGather, noCopies, noLeaseCheck, noBlocking, noEpochFence bool
 }
--- a/host/configs/messages.go
+++ b/host/configs/messages.go
@@ -18,7 +18,7 @@
 	KindFreshness = "config-freshness"
 	// KindPull requests the changes after a sequence.
 	KindPull = "config-pull"
-	// KindConfirm tells the host that wrote a change which sequence is in force at the sender.
+	// KindConfirm reports to the host that wrote a change which sequence is in force at the sender.
 	KindConfirm = "config-confirm"
 	// KindStatus requests the sequence in force at the receiver.
 	KindStatus = "config-status"
@@ -114,7 +114,7 @@
 	s.sendConfirmation(ctx, m.Writer)
 }
 
-// sendConfirmation tells the host that wrote a change which sequence is in force here. If the confirmation is lost, the
+// sendConfirmation reports to the host that wrote a change which sequence is in force here. If the confirmation is lost, the
 // writer asks for it.
 func (s *Service) sendConfirmation(ctx context.Context, writer string) {
 	if writer == "" || writer == s.opts.Host {
--- a/host/entry/restore.go
+++ b/host/entry/restore.go
@@ -113,7 +113,7 @@
 	}
 }
 
-// StoreRestored tells the host that the store was restored from an older copy, before any object of the new era is passed to it.
+// StoreRestored notifies the host that the store was restored from an older copy, before any object of the new era is passed to it.
 // All later lists are of the new era.
 func (h *Host) StoreRestored(current era.Era) {
 	h.mu.Lock()
--- a/host/members/service.go
+++ b/host/members/service.go
@@ -197,7 +197,7 @@
 	return ctx.Err()
 }
 
-// announceStopped tells the neighbours that this host has stopped, if it left with Leave.
+// announceStopped notifies the neighbours that this host has stopped, if it left with Leave.
 func (s *Service) announceStopped(ctx context.Context) {
 	s.mu.Lock()
 	leaving := s.leaving
--- a/host/places.go
+++ b/host/places.go
@@ -25,7 +25,7 @@
 	servers []platform.BackendServer
 }
 
-// places tells shifts and rollouts where requests may be moved. It implements moves.Places.
+// places lists for shifts and rollouts where requests may be moved. It implements moves.Places.
 type places struct {
 	host     *Host
 	snapshot atomic.Pointer[placesSnapshot]
--- a/io/callers/server.go
+++ b/io/callers/server.go
@@ -30,7 +30,7 @@
 	// that no idle connection is closed while a caller sends a new request on it.
 	DrainNotice time.Duration
 	// MaxConnections bounds the open connections, and MaxHeadBytes the sum of the bytes by which the heads of requests exceed
-	// 4 KiB each; 0 sets no bound. Beyond them connections that wait for a request are closed, which OnClosed is told.
+	// 4 KiB each; 0 sets no bound. Beyond them connections that wait for a request are closed, and OnClosed is called.
 	MaxConnections int
 	MaxHeadBytes   int64
 	OnClosed       func(reason string)
