End requests whose unread bodies never come

Cause: net/http reads up to 256 KiB of a body that the handler has not read before it sends the response, without a deadline, and such a connection counts as serving, which the table of connections doesn't close.

Fix: once the handler has returned, the rest of a body has 2 s; then net/http sends the response and closes the connection.

--- a/io/callers/server.go
+++ b/io/callers/server.go
@@ -24,6 +24,9 @@
 	HeaderTimeout time.Duration
 	// IdleTimeout bounds the time between two requests on a connection.
 	IdleTimeout time.Duration
+	// UnreadBodyTimeout bounds the time for the rest of a body that the handler has not read. net/http reads up to 256 KiB of it
+	// before it sends the response; beyond this time it sends the response and closes the connection.
+	UnreadBodyTimeout time.Duration
 	// BaseContext is the parent of the contexts of all requests; nil is context.Background.
 	BaseContext context.Context
 	// DrainNotice is the lame-duck period: a stopping server still accepts requests and answers with "Connection: close", so
@@ -47,6 +50,9 @@
 	if o.IdleTimeout == 0 {
 		o.IdleTimeout = 90 * time.Second
 	}
+	if o.UnreadBodyTimeout == 0 {
+		o.UnreadBodyTimeout = 2 * time.Second
+	}
 	if o.DrainNotice == 0 {
 		o.DrainNotice = time.Second
 	}
@@ -117,6 +123,10 @@
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if r.ContentLength != 0 {
+		// A writer that does not support deadlines returns an error, which does not matter.
+		defer func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.options.UnreadBodyTimeout)) }()
+	}
 	if s.options.Lookup != nil && r.URL.Path == "/v1/lookup" {
 		s.options.Lookup.ServeHTTP(w, r)
 		return
