Bound connections and heads at look-ups, readiness checks and metrics

Cause: only the server for requests had a table of connections, a bound on heads and an idle timeout; the other three were plain servers of net/http.

Evidence: TestHostIsBoundedAtAllDoors doesn't end before the fix, since its first crowd takes all 1,024 descriptors.

Fix: look-ups, readiness checks and metrics run on the server for callers, each with a table of its own. The address for other hosts stays as it is.

--- a/host/entry/host.go
+++ b/host/entry/host.go
@@ -277,17 +277,15 @@
 	taskCtx, stopTasks := context.WithCancel(context.Background())
 	defer stopTasks()
 	group, taskCtx := errgroup.WithContext(taskCtx)
-	servers := []*http.Server{
-		{Handler: h.options.NewReadyHandler(h.ready), ReadHeaderTimeout: headerTimeout},
-		{
-			Handler:           h.options.NewLookupHandler(h.fleet.lookup, time.Duration(h.settings.Limits.LookupTTL)),
-			ReadHeaderTimeout: headerTimeout,
-		},
-		{Handler: h.metrics, ReadHeaderTimeout: headerTimeout},
-		{Handler: h.options.PeerHandler, ReadHeaderTimeout: headerTimeout},
+	peerServer := &http.Server{Handler: h.options.PeerHandler, ReadHeaderTimeout: headerTimeout}
+	group.Go(func() error { return callers.Serve(peerServer, listeners[4]) })
+	servers := []*callers.Server{
+		h.newBoundedServer(h.options.NewReadyHandler(h.ready), readinessDivisor),
+		h.newBoundedServer(h.options.NewLookupHandler(h.fleet.lookup, time.Duration(h.settings.Limits.LookupTTL)), lookupDivisor),
+		h.newBoundedServer(h.metrics, operatorDivisor),
 	}
 	for i, server := range servers {
-		group.Go(func() error { return callers.Serve(server, listeners[i+1]) })
+		server.Start(listeners[i+1])
 	}
 	for _, run := range []func(context.Context) error{
 		h.client.Run, h.fleet.socket.Load().Run, h.fleet.run, h.judgeRollouts, h.maintain,
@@ -303,8 +301,9 @@
 			close(h.stopping)
 		}
 		stopTasks()
+		// The process ends anyway.
+		_ = peerServer.Close()
 		for _, server := range servers {
-			// The process ends anyway.
 			_ = server.Close()
 		}
 		return nil
--- a/io/callers/server.go
+++ b/io/callers/server.go
@@ -111,7 +111,8 @@
 	s.group.Go(func() error {
 		defer close(s.done)
 		defer close(s.stopping)
-		if err := s.http.Serve(pipeliningListener{listener, s.table}); !errors.Is(err, net.ErrClosed) {
+		err := s.http.Serve(pipeliningListener{listener, s.table})
+		if !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "serve callers")
 		}
 		return nil
@@ -164,3 +165,9 @@
 	}
 	return s.group.Wait()
 }
+
+// Close stops the server at once and closes all connections.
+func (s *Server) Close() (err error) {
+	defer func() { err = errors.Wrap(err, "close the server for callers") }()
+	return errors.CombineErrors(s.http.Close(), s.group.Wait())
+}
