Wait for the run that a faulty server counts after its copy

Cause: a fault of the test. The host answers 502 on the copy of the refusal, and the test's server counts its run after it has written the copy, so that the test may read the count before.

Change: in the cases that end with 502, the test waits until the server has finished before it counts. It checks as much as before: the status, and exactly one run of both servers together.

--- a/host/entry/faulty_bytes_test.go
+++ b/host/entry/faulty_bytes_test.go
@@ -150,6 +150,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var kept net.Conn
+			answered := make(chan struct{})
 			server := newScriptedServer(t, func(s *scriptedServer, conn net.Conn, id string) bool {
 				switch kept {
 				case nil:
@@ -157,6 +158,7 @@
 					s.refuse(conn, id)
 					return true
 				case conn:
+					defer close(answered)
 					return c.answer(s, conn, id)
 				}
 				s.run(conn, id)
@@ -177,6 +179,10 @@
 				h.listedServer("server-1").recordResult(h.now(), true)
 			}
 			w, _ := send(h, "/write/1", c.second)
+			if c.statuses == "502" {
+				// The host may answer after the copy, before the server has counted its run.
+				<-answered
+			}
 			if got := fmt.Sprint(w.Code); !strings.Contains(c.statuses, got) || server.runs.Load()+other.runs.Load() != 1 {
 				t.Errorf("status %s, %d runs, want %s and one run", got, server.runs.Load()+other.runs.Load(), c.statuses)
 			}
