--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -5,7 +5,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"sync"
+	"syscall"
 	"time"
 )
 
@@ -41,12 +44,19 @@
 	}
 	defer r.close()
 	r.note("case %s, trouble %t", args[0], trouble)
-	// The run ends itself, and its processes, before the limit of 120 s.
-	defer time.AfterFunc(timeLimit, func() {
-		closeDeployments()
-		r.note("NOT RUN: the time is over")
-		os.Exit(exitNotRun)
-	}).Stop()
+	// The run ends itself, and its processes, before the limit of 120 s and on a signal.
+	defer time.AfterFunc(timeLimit, func() { abandon(r, "the time is over") }).Stop()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	var group sync.WaitGroup
+	group.Go(func() {
+		if received, ok := <-signals; ok {
+			abandon(r, received.String())
+		}
+	})
+	defer group.Wait()
+	defer close(signals)
+	defer signal.Stop(signals)
 	broken, err := scenarios[args[0]](r, trouble)
 	switch {
 	case err != nil:
@@ -59,3 +69,10 @@
 	r.note("HELD")
 	return exitHeld
 }
+
+// abandon ends the processes that the run has started, and the run.
+func abandon(r *record, reason string) {
+	closeDeployments()
+	r.note("NOT RUN: %s", reason)
+	os.Exit(exitNotRun)
+}
